--- /dev/null
+++ b/src/app/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/net/HttpClient.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "core/Error.h"
+#include "core/Time.h"
+#include "net/HttpMessage.h"
+
+namespace hickoryknot {
+
+struct HttpClientSettings {
+    /// Connections kept to one endpoint, idle and in use; further requests wait.
+    size_t maxConnectionsPerEndpoint { 8 };
+    size_t maxBodyBytes { 4 * 1024 * 1024 };
+    Duration connectTimeout { 500ms };
+    Duration idleTimeout { 30s };
+};
+
+/// What became of one request.
+struct HttpClientResult {
+    Expected<HttpResponse> response { HttpResponse {} };
+    /// False only if no byte of the request left this process, so the peer surely did not get it.
+    bool wasSent { false };
+};
+
+/// HTTP/1.1 client with persistent connections on one io_context. All calls and completions run on that context's
+/// thread.
+class HttpClient {
+public:
+    using Completion = std::function<void(HttpClientResult)>;
+
+    HttpClient(boost::asio::io_context&, HttpClientSettings);
+    ~HttpClient();
+
+    /// Sends once, never repeats by itself. Timeout: no whole answer within `deadline`; the connection is closed.
+    void send(const Endpoint&, HttpRequest, Duration deadline, Completion);
+
+    /// Closes all connections; open requests end with Unavailable.
+    void close();
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/net/HttpMessage.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickoryknot {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Numeric IP address and TCP port.
+struct Endpoint {
+    std::string address;
+    uint16_t port { 0 };
+
+    friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+/// A request as the server hands it to its handler, or as a client sends it.
+struct HttpRequest {
+    std::string method { "GET" };
+    /// Path and query.
+    std::string target { "/" };
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse {
+    int status { 200 };
+    std::string contentType { "application/json" };
+    HttpHeaders headers;
+    std::string body;
+};
+
+} // namespace hickoryknot
