Add the protocol headers and the settings of net

The HTTP server gains a write timeout, a drain grace and a connection count; the client a bound on waiting requests and a header limit. All additions have defaults.

--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -13,7 +13,10 @@
 struct HttpClientSettings {
     /// Connections kept to one endpoint, idle and in use; further requests wait.
     size_t maxConnectionsPerEndpoint { 8 };
+    /// Requests to one endpoint that may wait for a connection; further ones end with Overloaded.
+    size_t maxWaitingPerEndpoint { 1024 };
     size_t maxBodyBytes { 4 * 1024 * 1024 };
+    size_t maxHeaderBytes { 16 * 1024 };
     Duration connectTimeout { 500ms };
     Duration idleTimeout { 30s };
 };
@@ -34,12 +37,20 @@
     HttpClient(boost::asio::io_context&, HttpClientSettings);
     ~HttpClient();
 
-    /// Sends once, never repeats by itself. Timeout: no whole answer within `deadline`; the connection is closed.
+    /// Sends once, never repeats by itself. The completion is never called from inside send(). Errors:
+    /// InvalidArgument: the address is not numeric, or the method, target or a header has a control character.
+    /// Overloaded: too many requests wait for this endpoint. Unavailable: the connection cannot be made or broke.
+    /// Timeout: no whole answer within `deadline`, waiting included; the connection is closed.
+    /// TooLarge: the answer exceeds a limit.
     void send(const Endpoint&, HttpRequest, Duration deadline, Completion);
 
-    /// Closes all connections; open requests end with Unavailable.
+    /// Closes all connections; open requests, and all later ones, end with Unavailable. Destruction closes too, but
+    /// drops the completions of open requests.
     void close();
 
+    /// Open connections to this endpoint, idle ones included.
+    size_t connections(const Endpoint&) const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -19,12 +19,18 @@
     Duration readTimeout { 10s };
     /// Between requests of one connection.
     Duration idleTimeout { 60s };
+    /// From the first byte of an answer to its last.
+    Duration writeTimeout { 10s };
+    /// How long a draining server still reads from an idle connection, for requests that were already on their way.
+    Duration drainGrace { 100ms };
 };
 
 /// HTTP/1.1 server on one io_context. All calls and all handlers run on that context's thread.
 class HttpServer {
 public:
-    /// Answers one request. May be called later, once, from the context's thread.
+    /// Answers one request. May be called later, once, from the context's thread. Further calls, and calls after the
+    /// connection or the server is gone, do nothing. A request whose responder is destroyed unused is answered with
+    /// 500.
     using Responder = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Responder)>;
 
@@ -37,12 +43,16 @@
     /// The bound port, also when 0 was asked for.
     uint16_t port() const;
 
-    /// Takes no new connections and closes each one after the answer to its request in progress.
+    /// Takes no new connections and closes each one after the answer to its request in progress. Idle connections are
+    /// closed after `drainGrace`.
     void drain();
 
     /// Requests that have been read and not yet answered in full.
     size_t requestsInProgress() const;
 
+    /// Open connections, idle ones included.
+    size_t connections() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/protocol/PeerMessage.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/Ids.h"
+#include "core/Resources.h"
+#include "protocol/ServerHeartbeat.h"
+
+namespace hickoryknot {
+
+/// What one host tells another every 250 ms.
+struct PeerMessage {
+    HostId host;
+    /// Random id of the host's store; changes when its disk was emptied or replaced. Any 64-bit value.
+    uint64_t storeId { 0 };
+    /// Grows with each start of the host process.
+    uint64_t incarnation { 0 };
+    ZoneId zone;
+    /// Grows with each message of one incarnation, so that hosts keep the newest.
+    uint64_t sequence { 0 };
+    uint64_t appliedTableVersion { 0 };
+    /// True while the host leads its zone's group in `zoneTerm`.
+    bool leadsZone { false };
+    uint64_t zoneTerm { 0 };
+    bool isDraining { false };
+    /// Numeric IP address and port at which the host serves.
+    std::string address;
+    uint16_t port { 0 };
+    /// Free capacity of the zone; meaningful while `leadsZone`.
+    Resources free;
+    /// Server heartbeats received directly since the last message.
+    std::vector<ServerHeartbeat> servers;
+    /// Slots that the host's requests use or wait for, over all rows.
+    uint32_t slotDemand { 0 };
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/protocol/WorkRequest.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include "core/Ids.h"
+
+namespace hickoryknot {
+
+/// What an entry host sends to a backend server as `POST /work`.
+struct WorkRequest {
+    RequestId request;
+    std::string body;
+
+    friend bool operator==(const WorkRequest&, const WorkRequest&) = default;
+};
+
+} // namespace hickoryknot
