--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -22,15 +22,15 @@
     std::string method { "GET" };
     /// Path and query.
     std::string target { "/" };
-    HttpHeaders headers;
-    std::string body;
+    HttpHeaders headers {};
+    std::string body {};
 };
 
 struct HttpResponse {
     int status { 200 };
     std::string contentType { "application/json" };
-    HttpHeaders headers;
-    std::string body;
+    HttpHeaders headers {};
+    std::string body {};
 };
 
 } // namespace hickoryknot
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,165 @@
+#include "net/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+#include "net/HttpServerConnection.h"
+#include "protocol/ErrorCodec.h"
+
+namespace hickoryknot {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Pause after a failed accept: without it, a process out of file descriptors would spin.
+constexpr Duration acceptRetry = 100ms;
+constexpr int listenBacklog = 1024;
+
+// Says why the connection is not served. Best effort: one write without waiting.
+void turnAway(tcp::socket socket)
+{
+    const std::string body = encodeError({ ErrorCode::Overloaded, "the host has too many connections" });
+    const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nX-Not-Started: 1\r\n"
+                               "Content-Type: application/json\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(answer), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
+    Impl(asio::io_context& io, HttpServerSettings settings, Handler handler)
+        : context(std::make_shared<HttpServerContext>())
+        , acceptor(io)
+        , timer(io)
+    {
+        context->settings = std::move(settings);
+        context->handler = std::move(handler);
+    }
+
+    Expected<void> listen();
+    void accept();
+    void serve(tcp::socket);
+    void retryAccept();
+    void closeConnections(bool idleOnly);
+
+    std::shared_ptr<HttpServerContext> context;
+    tcp::acceptor acceptor;
+    /// Accept retry, then drain grace.
+    asio::steady_timer timer;
+    uint16_t port { 0 };
+};
+
+Expected<void> HttpServer::Impl::listen()
+{
+    const auto& [address, wantedPort] = context->settings.listen;
+    error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    const tcp::endpoint endpoint(ip, wantedPort);
+    if (!error)
+        acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(listenBacklog, error);
+    if (error) {
+        return makeError(ErrorCode::Unavailable,
+            "cannot listen on " + address + ":" + std::to_string(wantedPort) + ": " + error.message());
+    }
+    port = acceptor.local_endpoint(error).port();
+    return {};
+}
+
+void HttpServer::Impl::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (!self->acceptor.is_open())
+            return;
+        if (error)
+            return self->retryAccept();
+        self->serve(std::move(socket));
+        self->accept();
+    });
+}
+
+void HttpServer::Impl::serve(tcp::socket socket)
+{
+    if (context->connections.size() >= context->settings.maxConnections)
+        return turnAway(std::move(socket));
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto connection = std::make_shared<HttpServerConnection>(std::move(socket), context);
+    context->connections.insert(connection);
+    connection->start();
+}
+
+void HttpServer::Impl::retryAccept()
+{
+    timer.expires_after(acceptRetry);
+    timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && self->acceptor.is_open())
+            self->accept();
+    });
+}
+
+void HttpServer::Impl::closeConnections(bool idleOnly)
+{
+    // Closing removes from the set, so a copy is walked.
+    const std::vector<std::shared_ptr<HttpServerConnection>> open(
+        context->connections.begin(), context->connections.end());
+    for (const auto& connection : open) {
+        if (!idleOnly || connection->isIdle())
+            connection->close();
+    }
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpServerSettings settings, Handler handler)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    error_code ignored;
+    m_impl->acceptor.close(ignored);
+    m_impl->timer.cancel();
+    m_impl->closeConnections(false);
+}
+
+Expected<void> HttpServer::start()
+{
+    auto result = m_impl->listen();
+    if (result)
+        m_impl->accept();
+    return result;
+}
+
+uint16_t HttpServer::port() const { return m_impl->port; }
+
+void HttpServer::drain()
+{
+    if (std::exchange(m_impl->context->isDraining, true))
+        return;
+    error_code ignored;
+    m_impl->acceptor.close(ignored);
+    m_impl->timer.expires_after(m_impl->context->settings.drainGrace);
+    m_impl->timer.async_wait([impl = m_impl](error_code error) {
+        if (!error)
+            impl->closeConnections(true);
+    });
+}
+
+size_t HttpServer::requestsInProgress() const { return m_impl->context->requestsInProgress; }
+
+size_t HttpServer::connections() const { return m_impl->context->connections.size(); }
+
+} // namespace hickoryknot
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -11,7 +11,7 @@
 namespace hickoryknot {
 
 struct HttpServerSettings {
-    Endpoint listen;
+    Endpoint listen {};
     size_t maxBodyBytes { 1024 * 1024 };
     size_t maxHeaderBytes { 16 * 1024 };
     size_t maxConnections { 2048 };
