Add the JSON codecs of all messages

One reader checks type, range, length, id form and unknown fields, keeps the first fault with its path, and is shared by all decoders. Bytes that are not UTF-8 travel as base64 in a second field, because a JSON string cannot carry them and replacing them would alter a caller's answer.

--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -15,8 +15,8 @@
     size_t maxConnectionsPerEndpoint { 8 };
     /// Requests to one endpoint that may wait for a connection; further ones end with Overloaded.
     size_t maxWaitingPerEndpoint { 1024 };
-    size_t maxBodyBytes { 4 * 1024 * 1024 };
-    size_t maxHeaderBytes { 16 * 1024 };
+    size_t maxBodyBytes { size_t { 4 } * 1024 * 1024 };
+    size_t maxHeaderBytes { size_t { 16 } * 1024 };
     Duration connectTimeout { 500ms };
     Duration idleTimeout { 30s };
 };
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// Room of the read buffer beyond the header limit, so that large bodies need few reads.
-constexpr size_t bodyChunkBytes = 64 * 1024;
+constexpr size_t bodyChunkBytes = size_t { 64 } * 1024;
 
 std::string describe(const tcp::endpoint& endpoint)
 {
--- a/src/net/HttpClientPool.cpp
+++ b/src/net/HttpClientPool.cpp
@@ -99,7 +99,7 @@
 std::shared_ptr<HttpClientConnection> HttpClientPool::takeIdle()
 {
     while (!m_idle.empty()) {
-        const auto connection = m_idle.back();
+        auto connection = m_idle.back();
         if (connection->isUsable()) {
             m_idle.pop_back();
             return connection;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -12,8 +12,8 @@
 
 struct HttpServerSettings {
     Endpoint listen {};
-    size_t maxBodyBytes { 1024 * 1024 };
-    size_t maxHeaderBytes { 16 * 1024 };
+    size_t maxBodyBytes { size_t { 1024 } * 1024 };
+    size_t maxHeaderBytes { size_t { 16 } * 1024 };
     size_t maxConnections { 2048 };
     /// From the first byte of a request to its last.
     Duration readTimeout { 10s };
--- a/src/net/HttpServerConnection.cpp
+++ b/src/net/HttpServerConnection.cpp
@@ -24,12 +24,12 @@
 namespace {
 
 /// Bytes read at once while waiting for a request.
-constexpr size_t readChunkBytes = 4 * 1024;
+constexpr size_t readChunkBytes = size_t { 4 } * 1024;
 /// Room of the read buffer beyond the header limit, so that large bodies need few reads.
-constexpr size_t bodyChunkBytes = 64 * 1024;
+constexpr size_t bodyChunkBytes = size_t { 64 } * 1024;
 /// How long, and how much, is still read from a peer after the last answer.
 constexpr Duration lingerTime = 1s;
-constexpr size_t lingerBytes = 4 * 1024 * 1024;
+constexpr size_t lingerBytes = size_t { 4 } * 1024 * 1024;
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool isHttpError(const error_code& error)
--- a/src/protocol/ErrorCodec.cpp
+++ b/src/protocol/ErrorCodec.cpp
@@ -29,7 +29,7 @@
 } };
 
 /// Longest error document that is read.
-constexpr size_t maxErrorBytes = 64 * 1024;
+constexpr size_t maxErrorBytes = size_t { 64 } * 1024;
 
 Error notAnErrorDocument() { return { ErrorCode::Unavailable, "the peer failed without an error document" }; }
 
--- /dev/null
+++ b/src/protocol/PeerMessageCodec.cpp
@@ -0,0 +1,60 @@
+#include "protocol/PeerMessageCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/DecodeMessage.h"
+#include "protocol/JsonDocument.h"
+#include "protocol/ObjectReader.h"
+#include "protocol/ServerHeartbeatFields.h"
+
+namespace hickoryknot {
+
+using nlohmann::json;
+using namespace protocol_limits;
+
+namespace {
+
+std::vector<ServerHeartbeat> readServers(ObjectReader& reader)
+{
+    std::vector<ServerHeartbeat> servers;
+    reader.eachObject("servers", [&](ObjectReader& server) { servers.push_back(readServerHeartbeat(server)); });
+    return servers;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    json servers = json::array();
+    for (const auto& server : message.servers)
+        servers.push_back(serverHeartbeatToJson(server));
+    return writeDocument({ { "host", message.host.value() }, { "storeId", message.storeId },
+        { "incarnation", message.incarnation }, { "zone", message.zone.value() }, { "sequence", message.sequence },
+        { "appliedTableVersion", message.appliedTableVersion }, { "leadsZone", message.leadsZone },
+        { "zoneTerm", message.zoneTerm }, { "draining", message.isDraining }, { "address", message.address },
+        { "port", message.port }, { "freeMillicores", message.free.millicores.count() },
+        { "freeMebibytes", message.free.mebibytes.count() }, { "freeAccelerators", message.free.accelerators.count() },
+        { "servers", std::move(servers) }, { "slotDemand", message.slotDemand } });
+}
+
+Expected<PeerMessage> decodePeerMessage(std::string_view text)
+{
+    return decodeMessage<PeerMessage>(text, maxInternalMessageBytes, [](ObjectReader& reader) {
+        return PeerMessage { .host = reader.id<HostId>("host"),
+            .storeId = reader.whole("storeId", 0, UINT64_MAX),
+            .incarnation = reader.whole("incarnation", 0, maxCounter),
+            .zone = reader.id<ZoneId>("zone"),
+            .sequence = reader.whole("sequence", 0, maxCounter),
+            .appliedTableVersion = reader.whole("appliedTableVersion", 0, maxCounter),
+            .leadsZone = reader.flag("leadsZone"),
+            .zoneTerm = reader.whole("zoneTerm", 0, maxCounter),
+            .isDraining = reader.flag("draining"),
+            .address = reader.numericAddress("address"),
+            .port = static_cast<uint16_t>(reader.whole("port", 1, UINT16_MAX)),
+            .free = reader.resources("freeMillicores", "freeMebibytes", "freeAccelerators", maxWorkersPerSum),
+            .servers = readServers(reader),
+            .slotDemand = static_cast<uint32_t>(reader.whole("slotDemand", 0, UINT32_MAX)) };
+    });
+}
+
+} // namespace hickoryknot
--- a/src/protocol/ProtocolLimits.h
+++ b/src/protocol/ProtocolLimits.h
@@ -8,21 +8,21 @@
 namespace hickoryknot::protocol_limits {
 
 /// Bytes of one message from outside. Equal to the server's default body limit.
-inline constexpr size_t maxMessageBytes = 1024 * 1024;
+inline constexpr size_t maxMessageBytes = size_t { 1024 } * 1024;
 /// Bytes of one message between hosts: a forwarded payload grows by a third in base64.
-inline constexpr size_t maxInternalMessageBytes = 4 * 1024 * 1024;
+inline constexpr size_t maxInternalMessageBytes = size_t { 4 } * 1024 * 1024;
 /// Nested objects and lists. The deepest message uses four levels.
 inline constexpr size_t maxDepth = 8;
 /// Elements of one list: more than the tasks of the largest worker and the ids of one cancelled wave.
 inline constexpr size_t maxListLength = 10'000;
 /// Bytes of a string that has no limit of its own.
-inline constexpr size_t maxTextBytes = 4 * 1024;
+inline constexpr size_t maxTextBytes = size_t { 4 } * 1024;
 /// Bytes of a request's body before base64.
-inline constexpr size_t maxRequestBodyBytes = 256 * 1024;
+inline constexpr size_t maxRequestBodyBytes = size_t { 256 } * 1024;
 /// Bytes of a backend server's answer before base64.
-inline constexpr size_t maxAnswerBytes = 512 * 1024;
+inline constexpr size_t maxAnswerBytes = size_t { 512 } * 1024;
 /// Bytes of a forwarded proposal and its result before base64.
-inline constexpr size_t maxProposalBytes = 2 * 1024 * 1024;
+inline constexpr size_t maxProposalBytes = size_t { 2 } * 1024 * 1024;
 
 /// Largest whole number that every JSON reader represents exactly (2^53 - 1).
 inline constexpr uint64_t maxCounter = (uint64_t { 1 } << 53) - 1;
--- /dev/null
+++ b/src/protocol/Utf8.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string_view>
+
+namespace hickoryknot {
+
+/// True if the bytes are well-formed UTF-8 and may stand in a JSON string.
+bool isUtf8(std::string_view);
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/protocol/WorkerHeartbeatCodec.cpp
@@ -0,0 +1,81 @@
+#include "protocol/WorkerHeartbeatCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/DecodeMessage.h"
+#include "protocol/JsonDocument.h"
+#include "protocol/ObjectReader.h"
+
+namespace hickoryknot {
+
+using nlohmann::json;
+using namespace protocol_limits;
+
+namespace {
+
+std::vector<RunningTask> readRunning(ObjectReader& reader)
+{
+    std::vector<RunningTask> tasks;
+    reader.eachObject("running", [&](ObjectReader& task) {
+        RunningTask running {
+            .task = task.id<TaskId>("taskId"), .epoch = task.whole("epoch", 0, maxCounter), .used = {}
+        };
+        // A task may use more than it asked for, but nothing beyond the largest worker.
+        running.used.millicores = Millicores(task.signedWhole("usedMillicores", 0, maxMillicores));
+        running.used.mebibytes = Mebibytes(task.signedWhole("usedMebibytes", 0, maxMebibytes));
+        tasks.push_back(std::move(running));
+    });
+    return tasks;
+}
+
+std::vector<EndedTask> readEnded(ObjectReader& reader)
+{
+    std::vector<EndedTask> tasks;
+    reader.eachObject("ended", [&](ObjectReader& task) {
+        tasks.push_back({ .task = task.id<TaskId>("taskId"),
+            .epoch = task.whole("epoch", 0, maxCounter),
+            .exitCode = static_cast<int>(task.signedWhole("exitCode", INT32_MIN, INT32_MAX)),
+            .runTime = task.milliseconds("runMs", maxRunTime) });
+    });
+    return tasks;
+}
+
+} // namespace
+
+std::string encodeWorkerHeartbeat(const WorkerHeartbeat& message)
+{
+    json running = json::array();
+    for (const auto& task : message.running) {
+        running.push_back({ { "taskId", task.task.value() }, { "epoch", task.epoch },
+            { "usedMillicores", task.used.millicores.count() }, { "usedMebibytes", task.used.mebibytes.count() } });
+    }
+    json ended = json::array();
+    for (const auto& task : message.ended) {
+        ended.push_back({ { "taskId", task.task.value() }, { "epoch", task.epoch }, { "exitCode", task.exitCode },
+            { "runMs", toMilliseconds(task.runTime) } });
+    }
+    return writeDocument({ { "workerId", message.worker.value() }, { "incarnation", message.incarnation },
+        { "zone", message.zone.value() }, { "rack", message.rack.value() },
+        { "millicores", message.capacity.millicores.count() }, { "mebibytes", message.capacity.mebibytes.count() },
+        { "accelerators", message.capacity.accelerators.count() }, { "term", message.term },
+        { "running", std::move(running) }, { "ended", std::move(ended) }, { "leaving", message.isLeaving },
+        { "waitMs", toMilliseconds(message.wait) } });
+}
+
+Expected<WorkerHeartbeat> decodeWorkerHeartbeat(std::string_view text)
+{
+    return decodeMessage<WorkerHeartbeat>(text, maxMessageBytes, [](ObjectReader& reader) {
+        return WorkerHeartbeat { .worker = reader.id<WorkerId>("workerId"),
+            .incarnation = reader.whole("incarnation", 0, maxCounter),
+            .zone = reader.id<ZoneId>("zone"),
+            .rack = reader.id<RackId>("rack"),
+            .capacity = reader.resources("millicores", "mebibytes", "accelerators"),
+            .term = reader.whole("term", 0, maxCounter),
+            .running = readRunning(reader),
+            .ended = readEnded(reader),
+            .isLeaving = reader.flag("leaving"),
+            .wait = reader.milliseconds("waitMs", maxHeartbeatWait) };
+    });
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/protocol/WorkerInstructionsCodec.cpp
@@ -0,0 +1,89 @@
+#include "protocol/WorkerInstructionsCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/DecodeMessage.h"
+#include "protocol/JsonDocument.h"
+#include "protocol/ObjectReader.h"
+
+namespace hickoryknot {
+
+using nlohmann::json;
+using namespace protocol_limits;
+
+namespace {
+
+std::vector<StartTask> readStart(ObjectReader& reader)
+{
+    std::vector<StartTask> tasks;
+    reader.eachObject("start", [&](ObjectReader& task) {
+        tasks.push_back({ .task = task.id<TaskId>("taskId"),
+            .epoch = task.whole("epoch", 0, maxCounter),
+            .job = task.id<JobId>("jobId"),
+            .command = task.text("command", 1, maxTextBytes),
+            .resources = task.resources("millicores", "mebibytes", "accelerators"),
+            .lease = task.milliseconds("leaseMs", maxLease) });
+    });
+    return tasks;
+}
+
+std::vector<StopTask> readStop(ObjectReader& reader)
+{
+    std::vector<StopTask> tasks;
+    reader.eachObject("stop", [&](ObjectReader& task) {
+        tasks.push_back({ .task = task.id<TaskId>("taskId"),
+            .epoch = task.whole("epoch", 0, maxCounter),
+            .checkpoint = task.flag("checkpoint") });
+    });
+    return tasks;
+}
+
+std::vector<RenewLease> readRenew(ObjectReader& reader)
+{
+    std::vector<RenewLease> tasks;
+    reader.eachObject("renew", [&](ObjectReader& task) {
+        tasks.push_back({ .task = task.id<TaskId>("taskId"),
+            .epoch = task.whole("epoch", 0, maxCounter),
+            .lease = task.milliseconds("leaseMs", maxLease) });
+    });
+    return tasks;
+}
+
+} // namespace
+
+std::string encodeWorkerInstructions(const WorkerInstructions& message)
+{
+    json start = json::array();
+    for (const auto& task : message.start) {
+        start.push_back({ { "taskId", task.task.value() }, { "epoch", task.epoch }, { "jobId", task.job.value() },
+            { "command", task.command }, { "millicores", task.resources.millicores.count() },
+            { "mebibytes", task.resources.mebibytes.count() }, { "accelerators", task.resources.accelerators.count() },
+            { "leaseMs", toMilliseconds(task.lease) } });
+    }
+    json stop = json::array();
+    for (const auto& task : message.stop)
+        stop.push_back({ { "taskId", task.task.value() }, { "epoch", task.epoch }, { "checkpoint", task.checkpoint } });
+    json renew = json::array();
+    for (const auto& task : message.renew) {
+        renew.push_back(
+            { { "taskId", task.task.value() }, { "epoch", task.epoch }, { "leaseMs", toMilliseconds(task.lease) } });
+    }
+    json acknowledged = json::array();
+    for (const auto& task : message.acknowledged)
+        acknowledged.push_back(task.value());
+    return writeDocument({ { "term", message.term }, { "start", std::move(start) }, { "stop", std::move(stop) },
+        { "renew", std::move(renew) }, { "ack", std::move(acknowledged) } });
+}
+
+Expected<WorkerInstructions> decodeWorkerInstructions(std::string_view text)
+{
+    return decodeMessage<WorkerInstructions>(text, maxInternalMessageBytes, [](ObjectReader& reader) {
+        return WorkerInstructions { .term = reader.whole("term", 0, maxCounter),
+            .start = readStart(reader),
+            .stop = readStop(reader),
+            .renew = readRenew(reader),
+            .acknowledged = reader.ids<TaskId>("ack") };
+    });
+}
+
+} // namespace hickoryknot
