Add settings, event log, duty threads and the commands

Cause: the binary needs its command line before the host process. Change: settings from flags and variables with range checks, JSON event lines, a thread per duty over a bounded ring, the callers' and operators' commands. Ruled out: silently ignoring unknown HICKORYKNOT_ variables; a misspelt setting would go unnoticed.

--- /dev/null
+++ b/src/app/EventLog.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/Events.h"
+
+namespace hickoryknot {
+
+enum class EventLevel : uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// Writes one JSON object a line to standard error: time, level, host, event number, event name, sentence and fields.
+/// Thread safe after start().
+class EventLog {
+public:
+    using Fields = std::initializer_list<std::pair<std::string_view, std::string>>;
+
+    /// Sets the host's name, which every line carries, and the lowest level that is written: debug, info, warning or
+    /// error.
+    static void start(const std::string& host, const std::string& level);
+
+    static void write(EventLevel, Event, std::string_view sentence, Fields fields = {});
+
+    /// Writes what is still in memory.
+    static void flush();
+};
+
+} // namespace hickoryknot
--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -1,1 +1,6 @@
-int main() { return 0; }
+#include "app/Commands.h"
+
+int main(int argc, char** argv)
+{
+    return hickoryknot::runCommand(argc, argv);
+}
--- /dev/null
+++ b/src/app/TableCommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "app/Commands.h"
+
+namespace hickoryknot {
+
+class CommandContext;
+
+/// `table get|set|check|remove|export|import`.
+ExitCode runTableCommand(CommandContext&);
+
+} // namespace hickoryknot
