--- /dev/null
+++ b/src/report/Metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/Time.h"
+
+namespace hickoryknot {
+
+/// Handles of registered series; recording by handle is an array access.
+enum class CounterId : uint32_t {};
+enum class GaugeId : uint32_t {};
+enum class LatencyId : uint32_t {};
+
+/// Label names and values of one series, for example {{"row", "lookup"}}.
+using MetricLabels = std::vector<std::pair<std::string, std::string>>;
+
+struct MetricsSettings {
+    /// Series of all kinds; later ones share the one series `hickoryknot_overflow` of their kind.
+    size_t maxSeries { 4096 };
+};
+
+/// Counters, gauges and latency histograms with bounded memory. Not thread safe: each thread records into its own and
+/// hands copies to the reporting thread, which merges them.
+class Metrics {
+public:
+    explicit Metrics(MetricsSettings = {});
+    ~Metrics();
+    Metrics(const Metrics&);
+    Metrics& operator=(const Metrics&);
+
+    /// Registers a series, or finds it again. Names follow Prometheus: letters, digits and underscores.
+    CounterId counter(const std::string& name, const std::string& help, const MetricLabels& = {});
+    GaugeId gauge(const std::string& name, const std::string& help, const MetricLabels& = {});
+    LatencyId latency(const std::string& name, const std::string& help, const MetricLabels& = {});
+
+    void add(CounterId, uint64_t count = 1);
+    void set(GaugeId, double value);
+    /// Buckets grow by a quarter decade from 10 us to 100 s.
+    void record(LatencyId, Duration);
+
+    uint64_t value(CounterId) const;
+    double value(GaugeId) const;
+    uint64_t count(LatencyId) const;
+    /// Upper bound of the bucket that holds the quantile `q` in 0..1; zero without records.
+    Duration quantile(LatencyId, double q) const;
+
+    /// Adds counters and histograms of another instance; its gauges replace gauges of the same series.
+    void merge(const Metrics&);
+
+    /// Registrations beyond the limit of series.
+    uint64_t droppedSeries() const;
+
+private:
+    friend std::string renderPrometheus(const Metrics&);
+
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace hickoryknot
