--- a/src/app/ApiClient.cpp
+++ b/src/app/ApiClient.cpp
@@ -42,7 +42,8 @@
         if (result.response)
             return std::move(result.response);
         last = Error { ErrorCode::Unavailable,
-            "entry host " + endpoint.address + ":" + std::to_string(endpoint.port) + ": " + result.response.error().message };
+            "entry host " + endpoint.address + ":" + std::to_string(endpoint.port) + ": "
+                + result.response.error().message };
         if (result.wasSent && !isIdempotent) {
             last.message += "; the request may have arrived, ask again with the same request id";
             break;
--- a/src/app/ApiClient.h
+++ b/src/app/ApiClient.h
@@ -14,9 +14,10 @@
 public:
     explicit ApiClient(std::vector<Endpoint> entryHosts);
 
-    /// Tries the entry hosts in turn until one answers. A request that may have reached a host is sent to the next one only
-    /// if `isIdempotent`. Unavailable: no host answered.
-    Expected<HttpResponse> call(const std::string& method, const std::string& target, const std::string& body, Duration deadline, bool isIdempotent);
+    /// Tries the entry hosts in turn until one answers. A request that may have reached a host is sent to the next one
+    /// only if `isIdempotent`. Unavailable: no host answered.
+    Expected<HttpResponse> call(const std::string& method, const std::string& target, const std::string& body,
+        Duration deadline, bool isIdempotent);
 
     /// Same as call() for a GET.
     Expected<HttpResponse> get(const std::string& target, Duration deadline = 10s);
--- a/src/app/CommandContext.cpp
+++ b/src/app/CommandContext.cpp
@@ -63,10 +63,7 @@
 {
 }
 
-const std::vector<std::string>& CommandContext::arguments() const
-{
-    return m_flags.unmatched();
-}
+const std::vector<std::string>& CommandContext::arguments() const { return m_flags.unmatched(); }
 
 std::optional<nlohmann::json> CommandContext::call(
     const std::string& method, const std::string& target, const std::string& body, Duration deadline, bool isIdempotent)
@@ -111,7 +108,8 @@
     return kind ? exitCodeOf(*kind) : ExitCode::Failure;
 }
 
-void CommandContext::printList(const nlohmann::json& document, const std::string& key, const std::vector<std::string>& columns) const
+void CommandContext::printList(
+    const nlohmann::json& document, const std::string& key, const std::vector<std::string>& columns) const
 {
     if (m_wantsJson) {
         std::cout << document.dump(2) << '\n';
--- a/src/app/CommandContext.h
+++ b/src/app/CommandContext.h
@@ -11,7 +11,7 @@
 namespace cxxopts {
 class Options;
 class ParseResult;
-}
+} // namespace cxxopts
 
 namespace hickoryknot {
 
@@ -25,15 +25,18 @@
     bool wantsJson() const { return m_wantsJson; }
     ApiClient& api() { return m_api; }
 
-    /// Calls an entry host and prints the error if there is one. Empty: the error has been printed and `exitCode()` set.
-    std::optional<nlohmann::json> call(const std::string& method, const std::string& target, const std::string& body, Duration deadline, bool isIdempotent);
+    /// Calls an entry host and prints the error if there is one. Empty: the error has been printed and `exitCode()`
+    /// set.
+    std::optional<nlohmann::json> call(const std::string& method, const std::string& target, const std::string& body,
+        Duration deadline, bool isIdempotent);
     std::optional<nlohmann::json> get(const std::string& target);
 
     /// Prints an outcome and returns the exit code that stands for it.
     ExitCode printOutcome(const nlohmann::json& outcome) const;
 
     /// Prints `document` as JSON, or the list under `key` as a table with these columns.
-    void printList(const nlohmann::json& document, const std::string& key, const std::vector<std::string>& columns) const;
+    void printList(
+        const nlohmann::json& document, const std::string& key, const std::vector<std::string>& columns) const;
 
     /// Prints a usage error and returns its exit code.
     static ExitCode usage(const std::string& sentence);
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -32,8 +32,10 @@
     CommandDescription { "status", "JOB", "Prints where a job is", runStatusCommand },
     CommandDescription { "wait", "JOB", "Waits up to --deadline-ms for the end of a job", runWaitCommand },
     CommandDescription { "cancel", "JOB...", "Cancels jobs, all with one record", runCancelCommand },
-    CommandDescription { "explain", "JOB", "Says why a job runs where it does, or why it does not run yet", runExplainCommand },
-    CommandDescription { "table", "get|set|check|remove|export|import ...", "Shows, checks and changes the table", runTableCommand },
+    CommandDescription {
+        "explain", "JOB", "Says why a job runs where it does, or why it does not run yet", runExplainCommand },
+    CommandDescription {
+        "table", "get|set|check|remove|export|import ...", "Shows, checks and changes the table", runTableCommand },
     CommandDescription { "hosts", "", "Lists the entry hosts", runHostsCommand },
     CommandDescription { "workers", "", "Lists the workers", runWorkersCommand },
     CommandDescription { "servers", "", "Lists the backend servers", runServersCommand },
@@ -87,7 +89,8 @@
         std::cout << "  " << head << " " << command.help << '\n';
     }
     std::cout << makeOptions().help()
-              << "\nExit codes: 0 done or accepted, 1 failed or no host answered, 2 wrong usage, 3 not run, 4 refused, 5 cancelled, 6 unknown, 7 "
+              << "\nExit codes: 0 done or accepted, 1 failed or no host answered, 2 wrong usage, 3 not run, 4 refused, "
+                 "5 cancelled, 6 unknown, 7 "
                  "conflict\n";
 }
 
@@ -107,7 +110,8 @@
         endpoints.push_back(std::move(*endpoint));
     }
     if (endpoints.empty())
-        return makeError(ErrorCode::InvalidArgument, "no entry host is given; use --entry ip:port or HICKORYKNOT_ENTRY");
+        return makeError(
+            ErrorCode::InvalidArgument, "no entry host is given; use --entry ip:port or HICKORYKNOT_ENTRY");
     return endpoints;
 }
 
--- /dev/null
+++ b/src/app/GroupRunner.cpp
@@ -0,0 +1,200 @@
+#include "app/GroupRunner.h"
+
+#include "app/DutyThread.h"
+#include "app/EventLog.h"
+#include "app/SteadyTime.h"
+#include "log/FileDisk.h"
+#include "log/RecordStore.h"
+
+namespace hickoryknot {
+
+GroupRunner::GroupRunner(GroupRunnerSettings settings, Links links)
+    : m_settings(std::move(settings))
+    , m_links(std::move(links))
+{
+}
+
+Expected<std::unique_ptr<GroupRunner>> GroupRunner::open(
+    const GroupRunnerSettings& settings, StateMachine& machine, Links links, TimePoint now)
+{
+    std::unique_ptr<RecordStore> store;
+    if (!settings.folder.empty()) {
+        auto disk = FileDisk::open(settings.folder);
+        if (!disk)
+            return tl::unexpected(disk.error());
+        const RecordStoreSettings storeSettings {
+            .cell = settings.cell,
+            .group = settings.log.group,
+            .host = settings.log.self,
+            .session = static_cast<SessionId>(settings.log.seed | 1),
+        };
+        auto opened = RecordStore::open(std::move(*disk), storeSettings);
+        if (!opened)
+            return tl::unexpected(opened.error());
+        store = std::move(*opened);
+    }
+    auto group = LogGroup::open(settings.log, std::move(store), machine, now);
+    if (!group)
+        return tl::unexpected(group.error());
+    std::unique_ptr<GroupRunner> runner(new GroupRunner(settings, std::move(links)));
+    runner->m_group = std::move(*group);
+    runner->reportStorage();
+    return runner;
+}
+
+void GroupRunner::step(std::string_view bytes, TimePoint now)
+{
+    const auto message = decodeLogMessage(bytes);
+    if (!message) {
+        EventLog::write(
+            EventLevel::Warning, Event::RequestRejected, message.error().message, { { "group", m_settings.name } });
+        return;
+    }
+    m_group->step(*message, now);
+    pump(now);
+}
+
+void GroupRunner::tick(TimePoint now)
+{
+    m_group->tick(now);
+    pump(now);
+}
+
+void GroupRunner::propose(std::string payload, TimePoint now, LogGroup::ProposeCompletion completion)
+{
+    m_group->propose(std::move(payload), now, [this, completion = std::move(completion)](Expected<std::string> result) {
+        m_completions.emplace_back([completion, result = std::move(result)] { completion(result); });
+    });
+    pump(now);
+}
+
+void GroupRunner::readBarrier(TimePoint now, LogGroup::Completion completion)
+{
+    m_group->readBarrier(now, [this, completion = std::move(completion)](Expected<void> result) {
+        m_completions.emplace_back([completion, result = std::move(result)] { completion(result); });
+    });
+    pump(now);
+}
+
+void GroupRunner::handOver(TimePoint now)
+{
+    if (!m_group->isLeader())
+        return;
+    for (const auto& member : m_group->members()) {
+        if (member.isVoter && member.host != m_settings.log.self && m_group->transferLeadership(member.host, now))
+            break;
+    }
+    pump(now);
+}
+
+void GroupRunner::addMember(const HostId& host, bool isVoter, TimePoint now)
+{
+    m_group->addMember(host, isVoter, now, [this, host, isVoter](const Expected<void>& result) {
+        const std::string what = "host " + host.value() + (isVoter ? " as a voter" : " as a learner");
+        m_completions.emplace_back([this, what, result] {
+            if (result)
+                EventLog::write(
+                    EventLevel::Info, Event::MemberChanged, "added " + what, { { "group", m_settings.name } });
+            else
+                EventLog::write(EventLevel::Debug, Event::MemberChanged,
+                    "could not add " + what + ": " + result.error().message, { { "group", m_settings.name } });
+        });
+    });
+    pump(now);
+}
+
+std::optional<TimePoint> GroupRunner::confirmedRound(TimePoint now) const
+{
+    // Readable leadership means that the latest confirmed round began less than electionMin minus the margin ago.
+    if (!m_group->hasReadableLeadership(now))
+        return std::nullopt;
+    return now - (m_settings.log.timings.electionMin - m_settings.log.timings.leaseMargin);
+}
+
+void GroupRunner::pump(TimePoint now)
+{
+    // A completion may propose again; the outer call then goes on with what it left.
+    if (m_isPumping)
+        return;
+    m_isPumping = true;
+    bool isBusy = true;
+    while (isBusy) {
+        for (auto& outgoing : m_group->takeMessages())
+            m_links.send(outgoing.to, m_settings.name, encodeLogMessage(outgoing.message));
+
+        // One write at a time goes to the storage thread; what comes meanwhile is gathered into the next one.
+        if (auto batch = m_group->takeWrite()) {
+            auto shared = std::make_shared<WriteBatch>(std::move(*batch));
+            m_links.storage.post([this, shared] {
+                auto result = m_group->performWrite(*shared);
+                m_links.postToControl([this, result = std::move(result)] {
+                    m_group->written(result, steadyNow());
+                    pump(steadyNow());
+                });
+            });
+        }
+        reportRole(now);
+
+        auto completions = std::move(m_completions);
+        m_completions.clear();
+        for (auto& completion : completions)
+            completion();
+        isBusy = !completions.empty();
+    }
+    if (m_group->storageFailure() && !m_hasReportedFailure) {
+        m_hasReportedFailure = true;
+        EventLog::write(EventLevel::Error, Event::StorageFailed, m_group->storageFailure()->message,
+            { { "group", m_settings.name } });
+    }
+    m_isPumping = false;
+}
+
+void GroupRunner::reportRole(TimePoint now)
+{
+    const auto leader = m_group->leader();
+    const uint64_t term = m_group->term();
+    if (leader != m_reportedLeader || (leader && term != m_reportedTerm)) {
+        m_reportedLeader = leader;
+        m_reportedTerm = term;
+        EventLog::write(EventLevel::Info, Event::LeaderChanged, leader ? leader->value() + " leads" : "no leader",
+            { { "group", m_settings.name }, { "term", std::to_string(term) } });
+    }
+
+    // The end of leadership is told at once, its beginning once a read barrier shows that the state is complete.
+    if (m_isLeading && (!m_group->isLeader() || term != m_barrierTerm)) {
+        m_isLeading = false;
+        m_links.leadershipChanged(false, term, now);
+    }
+    if (m_group->isLeader() && m_barrierTerm != term) {
+        m_barrierTerm = term;
+        m_group->readBarrier(now, [this, term](const Expected<void>& result) {
+            const bool isReadable = result.has_value();
+            m_completions.emplace_back([this, term, isReadable] {
+                if (isReadable && m_group->isLeader() && m_group->term() == term && !m_isLeading) {
+                    m_isLeading = true;
+                    m_links.leadershipChanged(true, term, steadyNow());
+                } else if (!isReadable && m_barrierTerm == term) {
+                    m_barrierTerm = 0;
+                }
+            });
+        });
+    }
+}
+
+void GroupRunner::reportStorage()
+{
+    const auto& group = *m_group;
+    EventLog::write(EventLevel::Info, Event::StorageRecovered,
+        m_settings.folder.empty() ? "no data folder, this host is a learner" : "the data folder was read",
+        { { "group", m_settings.name }, { "lastIndex", std::to_string(group.lastIndex()) },
+            { "incarnation", std::to_string(group.identity().incarnation) } });
+    if (group.recoveredCutBytes())
+        EventLog::write(EventLevel::Warning, Event::TornTailCut,
+            "an incomplete write at the end of the log was removed",
+            { { "group", m_settings.name }, { "bytes", std::to_string(group.recoveredCutBytes()) } });
+    if (group.wasIdentityOutdated())
+        EventLog::write(EventLevel::Warning, Event::ForeignDisk,
+            "the data folder is an older copy; this host rejoins as a learner", { { "group", m_settings.name } });
+}
+
+} // namespace hickoryknot
--- a/src/app/JobCommands.cpp
+++ b/src/app/JobCommands.cpp
@@ -18,7 +18,8 @@
 std::string makeRequestId()
 {
     std::random_device device;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
+    const auto milliseconds
+        = std::chrono::duration_cast<std::chrono::milliseconds>(wallNow().time_since_epoch()).count();
     return "cli-" + std::to_string(milliseconds) + "-" + std::to_string(device());
 }
 
@@ -41,8 +42,8 @@
     return body;
 }
 
-/// Sends a submission. It carries a request id, so that sending it to a second host cannot double it; the second host must
-/// know that it is a resend.
+/// Sends a submission. It carries a request id, so that sending it to a second host cannot double it; the second host
+/// must know that it is a resend.
 ExitCode submit(CommandContext& context, const std::string& target, const nlohmann::json& body, Duration deadline)
 {
     const auto outcome = context.call("POST", target, body.dump(), deadline + callMargin, false);
@@ -58,9 +59,9 @@
     if (context.wantsJson()) {
         std::cout << status.dump(2) << '\n';
     } else {
-        std::cout << status.value("jobId", "") << " is " << status.value("phase", "") << ": " << status.value("queuedTasks", 0) << " queued, "
-                  << status.value("runningTasks", 0) << " running, " << status.value("succeededTasks", 0) << " succeeded, "
-                  << status.value("failedTasks", 0) << " failed";
+        std::cout << status.value("jobId", "") << " is " << status.value("phase", "") << ": "
+                  << status.value("queuedTasks", 0) << " queued, " << status.value("runningTasks", 0) << " running, "
+                  << status.value("succeededTasks", 0) << " succeeded, " << status.value("failedTasks", 0) << " failed";
         if (status.contains("zone") && status["zone"].is_string())
             std::cout << ", zone " << status["zone"].get<std::string>();
         std::cout << '\n';
@@ -110,8 +111,8 @@
     if (context.arguments().size() != 1)
         return CommandContext::usage("wait takes one job id");
     const auto bound = context.flags()["deadline-ms"].as<uint32_t>();
-    const auto status = context.call("GET", "/v1/jobs/" + context.arguments()[0] + "/wait?ms=" + std::to_string(bound), "",
-        std::chrono::milliseconds(bound) + callMargin, true);
+    const auto status = context.call("GET", "/v1/jobs/" + context.arguments()[0] + "/wait?ms=" + std::to_string(bound),
+        "", std::chrono::milliseconds(bound) + callMargin, true);
     return status ? printStatus(context, *status) : context.exitCode();
 }
 
@@ -120,7 +121,8 @@
     if (context.arguments().empty())
         return CommandContext::usage("cancel takes at least one job id");
     const nlohmann::json body {
-        { "requestId", context.flags().count("request-id") ? context.flags()["request-id"].as<std::string>() : makeRequestId() },
+        { "requestId",
+            context.flags().count("request-id") ? context.flags()["request-id"].as<std::string>() : makeRequestId() },
         { "ids", context.arguments() },
     };
     const auto results = context.call("POST", "/v1/jobs/cancel", body.dump(), 10s, true);
--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -1,6 +1,3 @@
 #include "app/Commands.h"
 
-int main(int argc, char** argv)
-{
-    return hickoryknot::runCommand(argc, argv);
-}
+int main(int argc, char** argv) { return hickoryknot::runCommand(argc, argv); }
--- a/src/app/OperatorCommands.cpp
+++ b/src/app/OperatorCommands.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-ExitCode printResource(CommandContext& context, const std::string& target, const std::string& key, const std::vector<std::string>& columns)
+ExitCode printResource(
+    CommandContext& context, const std::string& target, const std::string& key, const std::vector<std::string>& columns)
 {
     const auto document = context.get(target);
     if (!document)
@@ -31,12 +32,14 @@
 ExitCode runWorkersCommand(CommandContext& context)
 {
     return printResource(context, "/v1/workers", "workers",
-        { "worker", "zone", "rack", "state", "tasks", "usedMillicores", "millicores", "usedMebibytes", "mebibytes", "usedAccelerators", "accelerators" });
+        { "worker", "zone", "rack", "state", "tasks", "usedMillicores", "millicores", "usedMebibytes", "mebibytes",
+            "usedAccelerators", "accelerators" });
 }
 
 ExitCode runServersCommand(CommandContext& context)
 {
-    return printResource(context, "/v1/servers", "servers", { "server", "zone", "rack", "address", "state", "slots", "connections", "inFlight" });
+    return printResource(context, "/v1/servers", "servers",
+        { "server", "zone", "rack", "address", "state", "slots", "connections", "inFlight" });
 }
 
 ExitCode runDrainCommand(CommandContext& context)
@@ -56,7 +59,8 @@
     const std::string format = context.wantsJson() ? "json" : context.flags().count("html") ? "html" : "text";
     auto response = context.api().get("/v1/report/burn?format=" + format);
     if (!response || response->status != 200) {
-        std::cerr << "hickoryknot: " << (response ? decodeError(response->body).message : response.error().message) << '\n';
+        std::cerr << "hickoryknot: " << (response ? decodeError(response->body).message : response.error().message)
+                  << '\n';
         return ExitCode::Failure;
     }
     std::cout << response->body;
--- a/src/app/TableCommands.cpp
+++ b/src/app/TableCommands.cpp
@@ -85,7 +85,8 @@
         const std::string name = arguments[i].substr(0, equals);
         const auto* column = findRowColumn(name);
         if (equals == std::string::npos || !column)
-            return makeError(ErrorCode::InvalidArgument, "'" + arguments[i] + "' is not column=value with a column of the table");
+            return makeError(
+                ErrorCode::InvalidArgument, "'" + arguments[i] + "' is not column=value with a column of the table");
         const std::string text = arguments[i].substr(equals + 1);
         if (column->type == ColumnType::Text) {
             row[name] = text;
@@ -93,7 +94,8 @@
         }
         auto value = nlohmann::json::parse(text == "yes" ? "true" : text == "no" ? "false" : text, nullptr, false);
         if (value.is_discarded())
-            return makeError(ErrorCode::InvalidArgument, "'" + text + "' is no value for column " + name + "; allowed: " + std::string(column->range));
+            return makeError(ErrorCode::InvalidArgument,
+                "'" + text + "' is no value for column " + name + "; allowed: " + std::string(column->range));
         row[name] = std::move(value);
     }
     return row;
@@ -127,15 +129,9 @@
     return sendChange(context, *change, target);
 }
 
-ExitCode setRow(CommandContext& context)
-{
-    return changeRow(context, "/v1/table/set");
-}
+ExitCode setRow(CommandContext& context) { return changeRow(context, "/v1/table/set"); }
 
-ExitCode checkRowChange(CommandContext& context)
-{
-    return changeRow(context, "/v1/table/check");
-}
+ExitCode checkRowChange(CommandContext& context) { return changeRow(context, "/v1/table/check"); }
 
 ExitCode removeRows(CommandContext& context)
 {
