Declare the record store and the replicated log

Cause: the host process and the schedulers code against these interfaces. Change: public headers of src/log and src/consensus with units and errors. Ruled out: a separate generation field in messages; the upper 24 bits of a term hold it, so that it fences exactly as terms do.

--- /dev/null
+++ b/src/consensus/ReplicatedLogSettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "consensus/LogTimings.h"
+#include "consensus/Membership.h"
+#include "core/Ids.h"
+#include "log/RecoveredLog.h"
+#include "log/StoreIdentity.h"
+
+namespace hickoryknot {
+
+/// Options and starting state of a ReplicatedLog.
+struct ReplicatedLogSettings {
+    std::string group;
+    HostId self;
+    StoreIdentity identity; // Store None: a host without a disk, which votes on nothing.
+    Membership initialMembers; // In force while neither snapshot nor log holds a member list.
+    uint64_t seed { 0 };
+    LogTimings timings;
+    uint64_t keptEntries { 1024 }; // Entries that stay in memory below a snapshot.
+    uint64_t batchBytes { 256 << 10 }; // Payload bytes per append message or snapshot chunk.
+    RecoveredLog recovered;
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/log/HardState.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <vector>
+
+#include "core/Ids.h"
+#include "log/IdentityEvidence.h"
+
+namespace hickoryknot {
+
+/// What a voter must not forget besides its entries.
+struct HardState {
+    Term term { 0 };
+    HostId votedFor; // Empty: no vote in this term.
+    std::vector<IdentityEvidence> evidence;
+
+    friend bool operator==(const HardState&, const HardState&) = default;
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/log/RecordStore.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "log/Disk.h"
+#include "log/RecordStoreSettings.h"
+#include "log/RecoveredLog.h"
+#include "log/SnapshotStore.h"
+#include "log/WriteBatch.h"
+#include "log/WriteResult.h"
+
+namespace hickoryknot {
+
+/// Durable records of one replicated log: entries, terms and votes in segments, and snapshots beside them. One batch is
+/// one sync and survives whole or not at all. Not thread safe; after open() a storage thread may own it.
+class RecordStore {
+public:
+    /// Reads the folder and counts the incarnation up. Conflict: the folder belongs to another host, group or cell.
+    /// Corrupt: a record or file inside the synced part fails its checksum; the message names file, offset and what the
+    /// operator can do. Storage: the folder cannot be read or written.
+    static Expected<std::unique_ptr<RecordStore>> open(std::unique_ptr<Disk>, const RecordStoreSettings&);
+
+    /// Store id, incarnation and session. An older copy of the folder shows in the incarnation and lastIndex().
+    const StoreIdentity& identity() const { return m_identity; }
+    const HostId& host() const { return m_settings.host; }
+
+    /// Hands over what open() found; empty afterwards.
+    RecoveredLog takeRecovered();
+
+    /// Makes a batch durable with one sync. Storage: a write or sync failed or the disk is full; every later call fails
+    /// with the same error, since the operating system may have dropped the failed pages.
+    Expected<void> writeAndSync(const WriteBatch&);
+
+    /// As writeAndSync(), with the outcome as a value that can be handed between threads.
+    WriteResult write(const WriteBatch&);
+
+    /// Index of the last durable entry or of the snapshot; 0 for none.
+    LogIndex lastIndex() const { return m_lastIndex; }
+
+    /// Set once a write has failed: the store accepts and acknowledges nothing more.
+    const std::optional<Error>& failure() const { return m_failure; }
+
+private:
+    struct Segment {
+        uint64_t number { 0 };
+        uint64_t bytes { 0 };
+        LogIndex highestIndex { 0 }; // The highest index of any entry inside.
+    };
+    struct Replay;
+
+    RecordStore(std::unique_ptr<Disk>, const RecordStoreSettings&);
+    Expected<void> openIdentity();
+    Expected<void> writeIdentity(const StoreIdentity&);
+    Expected<void> recover();
+    Expected<void> readSegments(Replay&);
+    Expected<void> readSegment(Replay&, Segment&, bool isLast);
+    Expected<void> cutTail(Segment&, uint64_t keptBytes, uint64_t fileBytes);
+    Expected<void> joinWithSnapshots(Replay&, std::vector<Snapshot>);
+    Expected<void> apply(const WriteBatch&);
+    Expected<void> appendRecords(const WriteBatch&);
+    Expected<void> startSegment();
+    Expected<void> compact();
+
+    // Settings.
+    std::unique_ptr<Disk> m_disk;
+    RecordStoreSettings m_settings;
+
+    // State.
+    SnapshotStore m_snapshots;
+    StoreIdentity m_identity;
+    HardState m_hardState;
+    std::vector<Segment> m_segments;
+    uint64_t m_batch { 0 }; // Number of the last batch.
+    LogIndex m_lastIndex { 0 };
+    std::optional<LogEntry> m_pendingRestart; // Position after which the log starts anew, not yet recorded.
+    std::optional<Error> m_failure;
+    RecoveredLog m_recovered;
+};
+
+} // namespace hickoryknot
