--- /dev/null
+++ b/src/lease/HeldLease.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/Time.h"
+
+namespace hickoryknot {
+
+/// The holder's side of a zone or table lease: counted from the moment the request was sent.
+class HeldLease {
+public:
+    /// A later answer never shortens the lease; answers may arrive out of order.
+    void renewed(TimePoint requestSentAt, Duration lease)
+    {
+        if (requestSentAt + lease > m_end)
+            m_end = requestSentAt + lease;
+    }
+    void drop() { m_end = TimePoint::min(); }
+
+    bool isHeld(TimePoint now) const { return now < m_end; }
+    /// First moment at which the lease no longer holds.
+    TimePoint end() const { return m_end; }
+
+private:
+    TimePoint m_end { TimePoint::min() };
+};
+
+} // namespace hickoryknot
--- a/src/protocol/PeerReply.h
+++ b/src/protocol/PeerReply.h
@@ -33,6 +33,9 @@
     /// Zone lease granted by the cell leader, counted by the receiver from the moment it sent the peer message;
     /// 0 means none.
     Duration zoneLease { 0 };
+    /// Table lease granted by the cell leader, counted by the receiver from the moment it sent the peer message; 0
+    /// means none.
+    Duration tableLease { 0 };
     std::vector<SlotGrant> slotGrants;
 
     friend bool operator==(const PeerReply&, const PeerReply&) = default;
--- a/src/protocol/WorkerInstructions.h
+++ b/src/protocol/WorkerInstructions.h
@@ -43,6 +43,8 @@
     std::vector<RenewLease> renew;
     /// Ended tasks that are recorded and need not be reported again.
     std::vector<TaskId> acknowledged;
+    /// Grows with each answer of one leader to one worker; the worker returns it as `lastSequence`.
+    uint64_t sequence { 0 };
 };
 
 } // namespace hickoryknot
--- /dev/null
+++ b/src/state/JobNumber.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "core/Ids.h"
+
+namespace hickoryknot {
+
+/// Compact name of a job inside one state: who numbered it, and the number. Its wire form `<home>:<number>` says where
+/// the job's record is; the home of cell jobs is `cell`, so no zone may have that name.
+struct JobNumber {
+    uint32_t number { 0 };
+    bool isCellJob { false };
+
+    friend auto operator<=>(const JobNumber&, const JobNumber&) = default;
+};
+
+/// `<home>:<number>`.
+JobId makeJobId(JobNumber, const ZoneId& zone);
+
+/// `<home>:<number>.<task>`.
+TaskId makeTaskId(JobNumber, uint32_t taskIndex, const ZoneId& zone);
+
+/// Empty if the text is no job id, or a job of another zone than `zone`.
+std::optional<JobNumber> parseJobId(const JobId&, const ZoneId& zone);
+
+/// Empty if the text is no task id, or a task of another zone than `zone`.
+std::optional<std::pair<JobNumber, uint32_t>> parseTaskId(const TaskId&, const ZoneId& zone);
+
+/// The home part of a job id: a zone, or empty for the cell. The outer optional is empty if the text is no job id.
+std::optional<std::optional<ZoneId>> homeOfJob(const JobId&);
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/state/TaskRecord.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+#include "state/RequestTime.h"
+
+namespace hickoryknot {
+
+enum class TaskPhase : uint8_t {
+    Queued,
+    Assigned, // May run on `worker` under assignment `epoch`.
+    Finished,
+    Failed, // Will not be tried again.
+};
+
+/// How an assignment ended.
+enum class TaskResult : uint8_t {
+    Finished, // Exit code 0.
+    Failed, // Another exit code.
+    Lost, // The lease ran out or the worker restarted, and the task may have run.
+    Preempted, // Stopped for other work after it ran.
+    NeverStarted, // Surely did not run.
+    Stopped, // Stopped because the job was cancelled or moved.
+};
+
+/// One task of a job in a zone.
+struct TaskRecord {
+    /// Number of the assignment, unique in the zone and growing; 0 before the first.
+    uint64_t epoch { 0 };
+    UnixMs sinceMs { 0 };
+    /// Index into ZoneState::workers().
+    uint32_t worker { 0 };
+    int32_t exitCode { 0 };
+    uint16_t failures { 0 };
+    uint16_t losses { 0 };
+    TaskPhase phase { TaskPhase::Queued };
+    /// True once an assignment ended in another way than NeverStarted.
+    bool mayHaveRun { false };
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/state/ZoneCommand.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/Error.h"
+#include "core/Resources.h"
+#include "state/JobNumber.h"
+#include "state/JobSpec.h"
+#include "state/RequestCommands.h"
+#include "state/TaskRecord.h"
+#include "table/Row.h"
+
+namespace hickoryknot {
+
+/// Records a job with this home zone. Result: JobAccepted, RequestKnown or an error.
+struct SubmitZoneJob {
+    RequestId request;
+    uint64_t contentHash { 0 };
+    JobSpec spec;
+    CutOffRule cutOff { CutOffRule::Stop };
+    UnixMs atMs { 0 };
+};
+
+/// Takes over cell jobs that the cell assigned to this zone. Jobs already known at this epoch or a higher one are
+/// skipped, and jobs whose older epoch still runs here. Result: BatchDone.
+struct AdmitCellJobs {
+    struct Entry {
+        uint32_t job { 0 };
+        uint64_t epoch { 0 };
+        CutOffRule cutOff { CutOffRule::Stop };
+        JobSpec spec;
+    };
+    std::vector<Entry> entries;
+    UnixMs atMs { 0 };
+};
+
+/// Workers that joined, restarted or changed size. Older incarnations than recorded are skipped. Result: BatchDone.
+struct RecordWorkers {
+    struct Entry {
+        WorkerId worker;
+        uint64_t incarnation { 0 };
+        RackId rack;
+        Resources capacity;
+    };
+    std::vector<Entry> entries;
+};
+
+/// Workers silent for so long that nobody waits for them; those with tasks are skipped. Result: CommandDone.
+struct ForgetWorkers {
+    std::vector<WorkerId> workers;
+};
+
+/// Assigns queued tasks to workers. A task is skipped if it is not queued or the worker has no room by its recorded
+/// capacity; of a gang, all queued tasks are placed together or all skipped. Result: BatchDone with assignment epochs.
+struct PlaceTasks {
+    struct Entry {
+        JobNumber job;
+        uint32_t task { 0 };
+        WorkerId worker;
+        uint64_t incarnation { 0 };
+    };
+    std::vector<Entry> entries;
+    UnixMs atMs { 0 };
+};
+
+/// Ends assignments. Entries of another assignment epoch are skipped. Result: BatchDone.
+struct EndTasks {
+    struct Entry {
+        JobNumber job;
+        uint32_t task { 0 };
+        uint64_t epoch { 0 };
+        TaskResult result { TaskResult::Finished };
+        int32_t exitCode { 0 };
+        Duration runTime { 0 };
+    };
+    std::vector<Entry> entries;
+    UnixMs atMs { 0 };
+};
+
+/// Cancels many jobs with one record. Result: BatchDone.
+struct CancelZoneJobs {
+    std::vector<JobNumber> jobs;
+    UnixMs atMs { 0 };
+};
+
+/// The cell has moved these cell jobs on: drop their queued tasks, stop the others, then forget them. Result:
+/// BatchDone.
+struct SupersedeJobs {
+    std::vector<uint32_t> jobs;
+    UnixMs atMs { 0 };
+};
+
+/// Stops trying to run these cell jobs so that they can be given back to the cell. A job that is not repeatable and may
+/// have run is skipped. Result: BatchDone.
+struct GiveBackJobs {
+    std::vector<uint32_t> jobs;
+    std::string reason;
+    UnixMs atMs { 0 };
+};
+
+/// Ends jobs that can never run. Result: BatchDone.
+struct RefuseJobs {
+    struct Entry {
+        JobNumber job;
+        std::string reason;
+    };
+    std::vector<Entry> entries;
+    UnixMs atMs { 0 };
+};
+
+/// Forgets ended, given back and superseded cell jobs that the cell has recorded too. Result: CommandDone.
+struct ForgetCellJobs {
+    std::vector<uint32_t> jobs;
+};
+
+/// The cut-off rules that hold for the zone's jobs from now on, as of one table version. Result: CommandDone.
+struct RecordCutOff {
+    struct Entry {
+        JobNumber job;
+        CutOffRule cutOff { CutOffRule::Stop };
+    };
+    std::vector<Entry> entries;
+    uint64_t tableVersion { 0 };
+};
+
+using ZoneCommand = std::variant<SubmitZoneJob, AdmitCellJobs, RecordWorkers, ForgetWorkers, PlaceTasks, EndTasks,
+    CancelZoneJobs, SupersedeJobs, GiveBackJobs, RefuseJobs, ForgetCellJobs, RecordCutOff, StartRequest, EndRequest,
+    AbandonRequests, Expire>;
+
+std::string encodeZoneCommand(const ZoneCommand&);
+/// Corrupt: not an encoded command.
+Expected<ZoneCommand> decodeZoneCommand(std::string_view);
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/state/ZoneJob.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/Ids.h"
+#include "core/Outcome.h"
+#include "state/JobNumber.h"
+#include "state/JobSpec.h"
+#include "state/TaskRecord.h"
+#include "table/Row.h"
+
+namespace hickoryknot {
+
+enum class ZoneJobPhase : uint8_t {
+    Active,
+    Cancelling, // Waits for its assigned tasks to stop, then ends as cancelled.
+    Unsure, // A task that is not repeatable may have run: waits for the others to stop, then ends as unknown.
+    Superseded, // The cell moved it on: waits for its assigned tasks to stop, then is forgotten.
+    GivenBack, // No task runs or will run here at this epoch; waits until the cell has recorded it.
+    Ended, // The outcome is final.
+};
+
+/// A job that runs in a zone, as the zone records it.
+struct ZoneJob {
+    JobNumber number;
+    JobSpec spec;
+    /// Of jobs with this home zone only.
+    RequestId request;
+    /// Epoch of the cell's assignment; 0 for jobs with this home zone.
+    uint64_t epoch { 0 };
+    ZoneJobPhase phase { ZoneJobPhase::Active };
+    CutOffRule cutOff { CutOffRule::Stop };
+    UnixMs submittedMs { 0 };
+    UnixMs sinceMs { 0 };
+    std::vector<TaskRecord> tasks;
+    /// Counts over `tasks`.
+    uint32_t queued { 0 };
+    uint32_t assigned { 0 };
+    uint32_t finished { 0 };
+    uint32_t failed { 0 };
+    /// Code of the last change of `phase`.
+    std::string reason;
+    Outcome outcome;
+
+    bool isOpen() const { return phase != ZoneJobPhase::Ended && phase != ZoneJobPhase::GivenBack; }
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/state/ZoneState.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "consensus/StateMachine.h"
+#include "protocol/JobStatus.h"
+#include "state/ChangeFeed.h"
+#include "state/CommandResult.h"
+#include "state/RequestBook.h"
+#include "state/WorkerRecord.h"
+#include "state/ZoneCommand.h"
+#include "state/ZoneJob.h"
+
+namespace hickoryknot {
+
+/// Names one task inside a zone.
+struct TaskKey {
+    JobNumber job;
+    uint32_t task { 0 };
+
+    friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+};
+
+/// One zone's replicated state: the jobs that run there, their assignments, workers, and the requests and jobs with
+/// this home zone.
+class ZoneState final : public StateMachine {
+public:
+    /// Bounds memory; further submissions are refused as Overloaded.
+    static constexpr size_t maxJobs = 50000;
+    /// A repeatable batch task that failed this often is not tried again.
+    static constexpr uint16_t maxFailures = 4;
+    /// A task lost this often probably kills its workers and is not tried again.
+    static constexpr uint16_t maxLosses = 16;
+
+    /// `zone` is the home part of the ids of jobs recorded here.
+    explicit ZoneState(ZoneId zone);
+
+    std::string apply(uint64_t index, std::string_view payload) override;
+    std::string snapshot() const override;
+    Expected<void> restore(std::string_view snapshot) override;
+    uint64_t digest() const override;
+
+    /// As apply(), typed.
+    CommandResult execute(const ZoneCommand&);
+
+    const ZoneId& zone() const { return m_zone; }
+    const RequestBook& requests() const { return m_data.requests; }
+    const ZoneJob* findJob(JobNumber) const;
+    /// Jobs with work left here, ascending.
+    const std::set<JobNumber>& openJobs() const { return m_openJobs; }
+    /// Cell jobs that are ended or given back here and not yet forgotten, ascending.
+    const std::set<JobNumber>& reportableJobs() const { return m_reportable; }
+    const ChangeFeed& changes() const { return m_changes; }
+
+    /// All workers; places with an empty id are free.
+    const std::vector<WorkerRecord>& workers() const { return m_data.workers; }
+    /// Index into workers(), empty if unknown.
+    std::optional<uint32_t> findWorker(const WorkerId&) const;
+    /// The task of an assignment that has not ended.
+    std::optional<TaskKey> findAssignment(uint64_t epoch) const;
+    /// Assignments that have not ended, by epoch.
+    const std::unordered_map<uint64_t, TaskKey>& assignments() const { return m_assignments; }
+
+    /// Table version whose cut-off rules are recorded.
+    uint64_t cutOffVersion() const { return m_data.cutOffVersion; }
+    /// Latest time that a command carried.
+    UnixMs now() const { return m_data.nowMs; }
+    /// NotFound: no such job here, or past its retention.
+    Expected<JobStatus> jobStatus(const JobId&) const;
+
+private:
+    struct Data {
+        std::map<JobNumber, ZoneJob> jobs;
+        std::vector<WorkerRecord> workers;
+        RequestBook requests;
+        uint32_t nextJob { 1 };
+        uint64_t nextEpoch { 1 };
+        uint64_t cutOffVersion { 0 };
+        UnixMs nowMs { 0 };
+    };
+
+    CommandResult run(const SubmitZoneJob&);
+    CommandResult run(const AdmitCellJobs&);
+    CommandResult run(const RecordWorkers&);
+    CommandResult run(const ForgetWorkers&);
+    CommandResult run(const PlaceTasks&);
+    CommandResult run(const EndTasks&);
+    CommandResult run(const CancelZoneJobs&);
+    CommandResult run(const SupersedeJobs&);
+    CommandResult run(const GiveBackJobs&);
+    CommandResult run(const RefuseJobs&);
+    CommandResult run(const ForgetCellJobs&);
+    CommandResult run(const RecordCutOff&);
+    CommandResult run(const StartRequest&);
+    CommandResult run(const EndRequest&);
+    CommandResult run(const AbandonRequests&);
+    CommandResult run(const Expire&);
+
+    void advanceTo(UnixMs atMs);
+    ZoneJob* findMutable(JobNumber);
+    ZoneJob& addJob(ZoneJob);
+    void eraseJob(JobNumber);
+    void setPhase(ZoneJob&, ZoneJobPhase, std::string reason, UnixMs atMs);
+    void leaveActive(ZoneJob&, ZoneJobPhase, const std::string& reason, UnixMs atMs);
+    void settle(ZoneJob&, UnixMs atMs);
+    void finish(ZoneJob&, Outcome, UnixMs atMs);
+    void setTaskPhase(ZoneJob&, TaskRecord&, TaskPhase, UnixMs atMs);
+    bool canPlace(const PlaceTasks::Entry&) const;
+    uint64_t place(const PlaceTasks::Entry&, UnixMs atMs);
+    void unplace(ZoneJob&, uint32_t task);
+    uint64_t endTask(const EndTasks::Entry&, UnixMs atMs);
+    TaskPhase phaseAfter(const ZoneJob&, TaskRecord&, const EndTasks::Entry&) const;
+    void rebuildIndexes();
+
+    ZoneId m_zone;
+    Data m_data;
+    // Rebuildable from m_data.
+    std::set<JobNumber> m_openJobs;
+    std::set<JobNumber> m_reportable;
+    std::unordered_map<WorkerId, uint32_t> m_workerIndex;
+    std::unordered_map<uint64_t, TaskKey> m_assignments;
+    ChangeFeed m_changes;
+};
+
+} // namespace hickoryknot
