--- a/src/membership/ServerRegistry.h
+++ b/src/membership/ServerRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
--- /dev/null
+++ b/src/routing/FairTurns.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "core/Time.h"
+
+namespace hickoryknot {
+
+/// Decides which row is served next. Among rows of the highest waiting priority, server time is shared by weight: the
+/// row with the least weighted service so far goes first. One of every `lowPriorityTurn` turns goes to the row below
+/// that priority which has waited longest for a turn, so that no row starves.
+class FairTurns {
+public:
+    static constexpr uint32_t maxPriority = 100;
+
+    explicit FairTurns(uint32_t lowPriorityTurn)
+        : m_lowPriorityTurn(std::max(lowPriorityTurn, 2U))
+    {
+    }
+
+    /// Sets weight (at least 1) and priority of the row with this index.
+    void setRow(uint32_t row, uint32_t weight, uint32_t priority)
+    {
+        if (row >= m_rows.size())
+            m_rows.resize(row + 1);
+        m_rows[row].weight = std::max(weight, 1U);
+        m_rows[row].priority = std::min(priority, maxPriority);
+    }
+
+    /// The row got its first waiting request. It earns nothing for the time in which it had none.
+    void rowBecameBusy(uint32_t row)
+    {
+        Row& entry = m_rows[row];
+        entry.pass = std::max(entry.pass, m_virtualTime[entry.priority]);
+    }
+
+    /// The next row out of `candidates`; empty if there are none.
+    std::optional<uint32_t> pick(std::span<const uint32_t> candidates) const
+    {
+        if (candidates.empty())
+            return std::nullopt;
+        uint32_t highest = 0;
+        for (const uint32_t row : candidates)
+            highest = std::max(highest, m_rows[row].priority);
+
+        const bool isLowTurn = m_turns % m_lowPriorityTurn == m_lowPriorityTurn - 1;
+        std::optional<uint32_t> best;
+        std::optional<uint32_t> longestWaiting;
+        for (const uint32_t row : candidates) {
+            const Row& entry = m_rows[row];
+            if (entry.priority == highest && (!best || entry.pass < m_rows[*best].pass))
+                best = row;
+            if (entry.priority < highest && (!longestWaiting || entry.lastTurn < m_rows[*longestWaiting].lastTurn))
+                longestWaiting = row;
+        }
+        return isLowTurn && longestWaiting ? longestWaiting : best;
+    }
+
+    /// The picked row starts one request that takes about `cost` of a slot.
+    void charge(uint32_t row, Duration cost)
+    {
+        Row& entry = m_rows[row];
+        m_virtualTime[entry.priority] = std::max(m_virtualTime[entry.priority], entry.pass);
+        entry.pass += static_cast<uint64_t>(std::max<int64_t>(cost.count(), 1)) * weightScale / entry.weight;
+        entry.lastTurn = ++m_turns;
+    }
+
+private:
+    // Keeps whole numbers exact enough for weights up to 1000 and costs from 1 us.
+    static constexpr uint64_t weightScale = 1000;
+
+    struct Row {
+        uint32_t weight { 1 };
+        uint32_t priority { 0 };
+        uint64_t pass { 0 };
+        uint64_t lastTurn { 0 };
+    };
+
+    uint32_t m_lowPriorityTurn;
+    std::vector<Row> m_rows;
+    std::array<uint64_t, maxPriority + 1> m_virtualTime {};
+    uint64_t m_turns { 0 };
+};
+
+} // namespace hickoryknot
--- a/src/routing/SharePartition.h
+++ b/src/routing/SharePartition.h
@@ -36,7 +36,7 @@
     SlotCount baseOf(uint32_t seat, const ServerId&, SlotCount capacity) const;
 
     /// What remains after all base shares.
-    SlotCount poolOf(const ServerId&, SlotCount capacity) const;
+    SlotCount poolOf(SlotCount capacity) const;
 
 private:
     uint32_t m_seats;
--- a/src/routing/SlotLease.h
+++ b/src/routing/SlotLease.h
@@ -36,7 +36,9 @@
     uint32_t running { 0 };
 };
 
-/// Holding side of the slot leases; one per entry host. Not thread safe; deterministic.
+/// Holding side of the slot leases; one per entry host. Not thread safe; deterministic. After a smaller grant was
+/// adopted the host closes idle connections beyond its shares before it sends the next ask, since that ask releases the
+/// older grant.
 ///
 ///     send(lease.makeAsk(servers, router.serverUse(), router.demand(), now));   // every 250 ms
 ///     if (lease.adopt(grant, now)) router.setShares(lease.shares(servers), lease.leasedUntil());
--- a/src/routing/SlotShares.h
+++ b/src/routing/SlotShares.h
@@ -83,11 +83,13 @@
         std::vector<SlotCount> counts; // by server index
     };
 
+    // One process of an entry host that asked within the last lease.
     struct Holder {
         HostId host;
         uint64_t incarnation { 0 };
         uint64_t lastAsk { 0 };
         uint32_t demand { 0 };
+        uint32_t balancedDemand { 0 };
         TimePoint expiry;
         std::deque<Outstanding> grants;
         std::vector<SlotCount> inUse; // by server index
@@ -98,17 +100,23 @@
         ServerId server;
         uint64_t incarnation { 0 };
         SlotCount pool;
-        uint64_t rotation { 0 };
-        bool isUsable { true };
+        bool isListed { true };
     };
 
     Duration withDrift(Duration) const;
     Holder& holderFor(const SlotAsk&);
     void dropExpired(TimePoint now);
     void takeReport(Holder&, const SlotAsk&);
+    void issue(Holder&, TimePoint now);
+
+    void dropUnusedServers();
+    void clearServer(size_t serverIndex);
+
+    bool isBalanced() const;
     void rebalance(TimePoint now);
-    void splitServer(size_t serverIndex);
-    SlotCount reserved(const Holder&, size_t serverIndex) const;
+    void splitServer(size_t serverIndex, std::vector<int64_t>& deficits);
+
+    static SlotCount reserved(const Holder&, size_t serverIndex);
     SlotCount grantable(const Holder&, size_t serverIndex) const;
 
     SlotSharesSettings m_settings;
@@ -119,10 +127,13 @@
     uint64_t m_lastNumber { 0 };
     TimePoint m_grantsFrom;
     TimePoint m_authorityUntil;
-    TimePoint m_nextRebalance;
     std::vector<Holder> m_holders; // ordered by host and incarnation
-    std::vector<Server> m_servers; // never shrinks within a term, so that indices stay valid
-    std::unordered_map<ServerId, size_t> m_newestByServer;
+    std::vector<Server> m_servers; // holders' vectors have the same order
+
+    // Rebuildable: servers by id, and when shares follow demand again.
+    std::unordered_map<ServerId, size_t> m_indexByServer;
+    TimePoint m_nextRebalance;
+    bool m_isMembershipChanged { true };
 };
 
 } // namespace hickoryknot
