--- a/src/app/CommandContext.cpp
+++ b/src/app/CommandContext.cpp
@@ -115,7 +115,11 @@
         std::cout << document.dump(2) << '\n';
         return;
     }
-    TextTable table(columns);
+    std::vector<TextTable::Column> titles;
+    titles.reserve(columns.size());
+    for (const auto& column : columns)
+        titles.push_back({ column, TextAlign::Left });
+    TextTable table(std::move(titles));
     for (const auto& item : document.at(key)) {
         std::vector<std::string> cells;
         cells.reserve(columns.size());
@@ -123,7 +127,7 @@
             cells.push_back(item.contains(column) ? cellText(item[column]) : "-");
         table.addRow(std::move(cells));
     }
-    std::cout << table.toString();
+    std::cout << table.render();
 }
 
 ExitCode CommandContext::usage(const std::string& sentence)
--- a/src/app/GroupRunner.cpp
+++ b/src/app/GroupRunner.cpp
@@ -1,5 +1,7 @@
 #include "app/GroupRunner.h"
 
+#include <algorithm>
+
 #include "app/DutyThread.h"
 #include "app/EventLog.h"
 #include "app/SteadyTime.h"
@@ -89,20 +91,45 @@
 
 void GroupRunner::addMember(const HostId& host, bool isVoter, TimePoint now)
 {
-    m_group->addMember(host, isVoter, now, [this, host, isVoter](const Expected<void>& result) {
-        const std::string what = "host " + host.value() + (isVoter ? " as a voter" : " as a learner");
-        m_completions.emplace_back([this, what, result] {
-            if (result)
-                EventLog::write(
-                    EventLevel::Info, Event::MemberChanged, "added " + what, { { "group", m_settings.name } });
-            else
-                EventLog::write(EventLevel::Debug, Event::MemberChanged,
-                    "could not add " + what + ": " + result.error().message, { { "group", m_settings.name } });
-        });
+    m_group->addMember(host, isVoter, now,
+        [this, what = "added host " + host.value() + (isVoter ? " as a voter" : " as a learner")](
+            const Expected<void>& result) { reportMemberChange(what, result); });
+    pump(now);
+}
+
+void GroupRunner::removeMember(const HostId& host, TimePoint now)
+{
+    m_group->removeMember(host, now, [this, what = "removed host " + host.value()](const Expected<void>& result) {
+        reportMemberChange(what, result);
     });
     pump(now);
 }
 
+void GroupRunner::formAnew(uint64_t generation, const std::vector<HostId>& voters, TimePoint now)
+{
+    std::vector<InitialMember> members;
+    for (const auto& member : m_group->members()) {
+        const bool isVoter = std::find(voters.begin(), voters.end(), member.host) != voters.end();
+        if (isVoter || !member.isVoter)
+            members.push_back({ member.host, isVoter });
+    }
+    const auto result = m_group->replaceMembers(generation, members, now);
+    const std::string what = "formed the group anew in generation " + std::to_string(generation);
+    reportMemberChange(what, result);
+    pump(now);
+}
+
+void GroupRunner::reportMemberChange(std::string what, const Expected<void>& result)
+{
+    m_completions.emplace_back([this, what = std::move(what), result] {
+        if (result)
+            EventLog::write(EventLevel::Info, Event::MemberChanged, what, { { "group", m_settings.name } });
+        else
+            EventLog::write(EventLevel::Debug, Event::MemberChanged, "not " + what + ": " + result.error().message,
+                { { "group", m_settings.name } });
+    });
+}
+
 std::optional<TimePoint> GroupRunner::confirmedRound(TimePoint now) const
 {
     // Readable leadership means that the latest confirmed round began less than electionMin minus the margin ago.
--- a/src/app/GroupRunner.h
+++ b/src/app/GroupRunner.h
@@ -57,7 +57,12 @@
     /// Hands leadership to another voter if this host leads.
     void handOver(TimePoint now);
 
+    /// Adds a learner, or a voter that counts once it has caught up. Ends in an event line.
     void addMember(const HostId&, bool isVoter, TimePoint now);
+    void removeMember(const HostId&, TimePoint now);
+
+    /// Forms the group anew around the one surviving voter that the cell's record names.
+    void formAnew(uint64_t generation, const std::vector<HostId>& voters, TimePoint now);
 
     const LogGroup& group() const { return *m_group; }
 
@@ -68,6 +73,7 @@
     GroupRunner(GroupRunnerSettings, Links);
 
     void pump(TimePoint now);
+    void reportMemberChange(std::string what, const Expected<void>&);
     void reportRole(TimePoint now);
     void reportStorage();
 
--- a/src/app/HostSettings.h
+++ b/src/app/HostSettings.h
@@ -33,6 +33,8 @@
     std::string logLevel { "info" };
     /// Seed of every random choice; 0 takes one from the system.
     uint64_t seed { 0 };
+    /// Grows with each start of the process: milliseconds since 1970 at the start. Not a setting.
+    uint64_t incarnation { 0 };
     size_t maxConnections { 2048 };
     /// Longest a planned stop waits for requests in progress; callers' deadlines are at most this.
     Duration drainBound { 60s };
--- /dev/null
+++ b/src/app/MemberPolicy.cpp
@@ -0,0 +1,67 @@
+#include "app/MemberPolicy.h"
+
+#include <algorithm>
+
+namespace hickoryknot {
+
+namespace {
+
+/// A host that has not been heard since this long takes no part in the counts of live hosts.
+constexpr Duration liveWithin = 2s;
+
+const HostView* findView(std::span<const HostView* const> hosts, const HostId& host)
+{
+    const auto found = std::find_if(hosts.begin(), hosts.end(), [&](const auto* view) { return view->host == host; });
+    return found == hosts.end() ? nullptr : *found;
+}
+
+bool isLive(const HostView* view, TimePoint now) { return view && now - view->heardAt < liveWithin; }
+
+} // namespace
+
+std::optional<MemberChange> nextMemberChange(const MemberPolicySettings& settings, const HostId& self,
+    std::span<const Member> members, std::span<const HostView* const> hosts, TimePoint now)
+{
+    const auto findMember = [&](const HostId& host) {
+        return std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.host == host; });
+    };
+    const auto voters = static_cast<size_t>(std::count_if(
+        members.begin(), members.end(), [](const Member& member) { return member.isVoter || member.isVoterWanted; }));
+
+    // Unknown hosts join: as voters while seats are free and they have a disk, else as learners.
+    for (const auto* view : hosts) {
+        if (!isLive(view, now) || findMember(view->host) != members.end())
+            continue;
+        const bool canVote = view->storeId != 0 && voters < settings.maxVoters;
+        return MemberChange { MemberChange::Kind::Add, view->host, canVote };
+    }
+
+    // A learner with a disk takes a free seat.
+    for (const auto* view : hosts) {
+        const auto member = findMember(view->host);
+        const bool isFree = member != members.end() && !member->isVoter && !member->isVoterWanted;
+        if (isFree && isLive(view, now) && view->storeId != 0 && voters < settings.maxVoters)
+            return MemberChange { MemberChange::Kind::Add, view->host, true };
+    }
+
+    // A voter silent for long makes room for a live learner with a disk.
+    const bool hasSubstitute = std::any_of(hosts.begin(), hosts.end(), [&](const auto* view) {
+        const auto member = findMember(view->host);
+        return isLive(view, now) && view->storeId != 0 && member != members.end() && !member->isVoter;
+    });
+    if (!hasSubstitute)
+        return std::nullopt;
+    const auto liveVoters
+        = static_cast<size_t>(std::count_if(members.begin(), members.end(), [&](const Member& member) {
+              return member.isVoter && (member.host == self || isLive(findView(hosts, member.host), now));
+          }));
+    for (const auto& member : members) {
+        const auto* view = findView(hosts, member.host);
+        const bool isSilent = member.host != self && view && now - view->heardAt > settings.replaceSilentAfter;
+        if (member.isVoter && isSilent && liveVoters > voters / 2)
+            return MemberChange { MemberChange::Kind::Remove, member.host, false };
+    }
+    return std::nullopt;
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/routing/ZoneExchangeCodec.cpp
@@ -0,0 +1,149 @@
+#include "routing/ZoneExchangeCodec.h"
+
+#include "protocol/DecodeMessage.h"
+#include "protocol/ServerHeartbeatFields.h"
+#include "routing/ZoneExchange.h"
+
+namespace hickoryknot {
+
+using nlohmann::json;
+using namespace protocol_limits;
+
+namespace {
+
+/// A relayed heartbeat older than this no longer counts anywhere.
+constexpr Duration maxHeartbeatAge = 60s;
+
+json heartbeatsToJson(const std::vector<RelayedHeartbeat>& heartbeats)
+{
+    json list = json::array();
+    for (const auto& relayed : heartbeats)
+        list.push_back(
+            { { "heartbeat", serverHeartbeatToJson(relayed.heartbeat) }, { "ageMs", toMilliseconds(relayed.age) } });
+    return list;
+}
+
+std::vector<RelayedHeartbeat> readHeartbeats(ObjectReader& reader)
+{
+    std::vector<RelayedHeartbeat> heartbeats;
+    reader.eachObject("heartbeats", [&](ObjectReader& item) {
+        RelayedHeartbeat relayed;
+        item.optionalObject(
+            "heartbeat", [&](ObjectReader& heartbeat) { relayed.heartbeat = readServerHeartbeat(heartbeat); });
+        // Ages travel in whole milliseconds; rounding up never makes a server look fresher than it is.
+        relayed.age = item.milliseconds("ageMs", maxHeartbeatAge) + 1ms;
+        heartbeats.push_back(std::move(relayed));
+    });
+    return heartbeats;
+}
+
+json slotsToJson(const std::vector<ServerSlots>& servers)
+{
+    json list = json::array();
+    for (const auto& server : servers) {
+        list.push_back({ { "serverId", server.server.value() }, { "incarnation", server.incarnation },
+            { "slots", server.count.slots }, { "connections", server.count.connections } });
+    }
+    return list;
+}
+
+std::vector<ServerSlots> readSlots(ObjectReader& reader, const char* name)
+{
+    std::vector<ServerSlots> servers;
+    reader.eachObject(name, [&](ObjectReader& item) {
+        servers.push_back({ .server = item.id<ServerId>("serverId"),
+            .incarnation = item.whole("incarnation", 0, maxCounter),
+            .count = { .slots = static_cast<uint32_t>(item.whole("slots", 0, maxServerSlots)),
+                .connections = static_cast<uint32_t>(item.whole("connections", 0, maxServerSlots)) } });
+    });
+    return servers;
+}
+
+json askToJson(const SlotAsk& ask)
+{
+    return { { "host", ask.host.value() }, { "incarnation", ask.incarnation }, { "number", ask.number },
+        { "demand", ask.demand }, { "adoptedTerm", ask.adoptedTerm }, { "adoptedNumber", ask.adoptedNumber },
+        { "inUse", slotsToJson(ask.inUse) } };
+}
+
+SlotAsk readAsk(ObjectReader& reader)
+{
+    return { .host = reader.id<HostId>("host"),
+        .incarnation = reader.whole("incarnation", 0, maxCounter),
+        .number = reader.whole("number", 0, maxCounter),
+        .demand = static_cast<uint32_t>(reader.whole("demand", 0, UINT32_MAX)),
+        .adoptedTerm = reader.whole("adoptedTerm", 0, maxCounter),
+        .adoptedNumber = reader.whole("adoptedNumber", 0, maxCounter),
+        .inUse = readSlots(reader, "inUse") };
+}
+
+json grantToJson(const SlotGrant& grant)
+{
+    return { { "host", grant.host.value() }, { "incarnation", grant.incarnation }, { "askNumber", grant.askNumber },
+        { "term", grant.term }, { "number", grant.number }, { "leaseMs", toMilliseconds(grant.lease) },
+        { "servers", slotsToJson(grant.servers) } };
+}
+
+SlotGrant readGrant(ObjectReader& reader)
+{
+    return { .host = reader.id<HostId>("host"),
+        .incarnation = reader.whole("incarnation", 0, maxCounter),
+        .askNumber = reader.whole("askNumber", 0, maxCounter),
+        .term = reader.whole("term", 0, maxCounter),
+        .number = reader.whole("number", 0, maxCounter),
+        .lease = reader.milliseconds("leaseMs", maxLease),
+        .servers = readSlots(reader, "servers") };
+}
+
+} // namespace
+
+std::string encodeZoneExchange(const ZoneExchange& message)
+{
+    json digest = json::array();
+    for (const auto& entry : message.digest)
+        digest.push_back({ { "serverId", entry.server.value() }, { "incarnation", entry.incarnation },
+            { "sequence", entry.sequence } });
+    json document { { "host", message.host.value() }, { "zone", message.zone.value() }, { "digest", std::move(digest) },
+        { "heartbeats", heartbeatsToJson(message.heartbeats) }, { "freeSlots", message.freeSlots } };
+    if (message.ask)
+        document["ask"] = askToJson(*message.ask);
+    return writeDocument(document);
+}
+
+Expected<ZoneExchange> decodeZoneExchange(std::string_view text)
+{
+    return decodeMessage<ZoneExchange>(text, maxInternalMessageBytes, [](ObjectReader& reader) {
+        ZoneExchange message;
+        message.host = reader.id<HostId>("host");
+        message.zone = reader.id<ZoneId>("zone");
+        reader.eachObject("digest", [&](ObjectReader& item) {
+            message.digest.push_back({ .server = item.id<ServerId>("serverId"),
+                .incarnation = item.whole("incarnation", 0, maxCounter),
+                .sequence = item.whole("sequence", 0, maxCounter) });
+        });
+        message.heartbeats = readHeartbeats(reader);
+        message.freeSlots = static_cast<uint32_t>(reader.whole("freeSlots", 0, UINT32_MAX));
+        reader.optionalObject("ask", [&](ObjectReader& ask) { message.ask = readAsk(ask); });
+        return message;
+    });
+}
+
+std::string encodeZoneExchangeReply(const ZoneExchangeReply& reply)
+{
+    json document { { "heartbeats", heartbeatsToJson(reply.heartbeats) } };
+    if (reply.grant)
+        document["grant"] = grantToJson(*reply.grant);
+    return writeDocument(document);
+}
+
+Expected<ZoneExchangeReply> decodeZoneExchangeReply(std::string_view text)
+{
+    return decodeMessage<ZoneExchangeReply>(text, maxInternalMessageBytes, [](ObjectReader& reader) {
+        ZoneExchangeReply reply;
+        reply.heartbeats = readHeartbeats(reader);
+        reader.optionalObject("grant", [&](ObjectReader& grant) { reply.grant = readGrant(grant); });
+        return reply;
+    });
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/routing/ZoneExchangeCodec.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/Error.h"
+
+namespace hickoryknot {
+
+struct ZoneExchange;
+struct ZoneExchangeReply;
+
+/// Body of `POST /internal/zone` and its answer as JSON. docs/protocol.md lists fields, units and limits.
+/// InvalidArgument or TooLarge: the message names the field and the allowed range.
+std::string encodeZoneExchange(const ZoneExchange&);
+Expected<ZoneExchange> decodeZoneExchange(std::string_view);
+std::string encodeZoneExchangeReply(const ZoneExchangeReply&);
+Expected<ZoneExchangeReply> decodeZoneExchangeReply(std::string_view);
+
+} // namespace hickoryknot
