Implement the placement engine

Cause: the scheduler needs decisions for services, batch and gang jobs under priorities, quotas and failures. Change: flat tables of workers, rows, teams, jobs and runs; a grid over free processors and memory for the search; choosers for packing and spreading; reservations for gangs and overdue tasks with backfill; preemption with least lost work; failure scores with probes and back-off; refusals; explain(); digest. Ruled out: a linear scan per decision (cost grows with the square of the cell), and holding gang members one by one as capacity frees up (two half-held gangs can block each other).

--- /dev/null
+++ b/src/placement/Choice.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "placement/Indices.h"
+
+namespace hickoryknot {
+
+/// The worker chosen for one task, with what explain() reports.
+struct Choice {
+    WorkerIndex worker { noIndex };
+    /// Static text.
+    const char* reason { "" };
+    /// Fitting workers that were compared.
+    uint32_t compared { 0 };
+    /// Tasks of the same job in the worker's rack.
+    uint32_t othersInRack { 0 };
+
+    bool isFound() const { return worker != noIndex; }
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/Indices.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace hickoryknot {
+
+// Positions in the flat tables of the placement engine.
+using WorkerIndex = uint32_t;
+using RackIndex = uint32_t;
+using RowIndex = uint32_t;
+using TeamIndex = uint32_t;
+using ShapeIndex = uint32_t;
+using JobIndex = uint32_t;
+using QueueIndex = uint32_t;
+using RunIndex = uint32_t;
+
+/// Stands for "none" in every kind of index.
+constexpr uint32_t noIndex = UINT32_MAX;
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/JobTable.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <vector>
+
+#include "placement/JobRecord.h"
+
+namespace hickoryknot {
+
+/// Jobs by slot; a slot is reused with a new generation so that stale handles are recognised.
+class JobTable {
+public:
+    JobIndex add()
+    {
+        if (m_unused.empty()) {
+            m_records.emplace_back();
+            m_unused.reserve(m_records.capacity());
+            m_unused.push_back(static_cast<JobIndex>(m_records.size() - 1));
+        }
+        const JobIndex index = m_unused.back();
+        m_unused.pop_back();
+        m_records[index].isUsed = true;
+        return index;
+    }
+
+    void remove(JobIndex index)
+    {
+        const uint32_t next = m_records[index].generation + 1;
+        m_records[index] = {};
+        m_records[index].generation = next;
+        m_unused.push_back(index);
+    }
+
+    /// noIndex for a stale or unknown handle.
+    JobIndex find(uint32_t slot, uint32_t generation) const
+    {
+        const bool isCurrent
+            = slot < m_records.size() && m_records[slot].isUsed && m_records[slot].generation == generation;
+        return isCurrent ? slot : noIndex;
+    }
+
+    JobRecord& operator[](JobIndex index) { return m_records[index]; }
+    const JobRecord& operator[](JobIndex index) const { return m_records[index]; }
+    uint32_t size() const { return static_cast<uint32_t>(m_records.size()); }
+
+private:
+    std::vector<JobRecord> m_records;
+    std::vector<JobIndex> m_unused;
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/RowRecord.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "placement/Indices.h"
+#include "placement/RunEstimate.h"
+#include "table/Row.h"
+
+namespace hickoryknot {
+
+/// State of one class row inside the engine.
+struct RowRecord {
+    Row row;
+    bool isInTable { false };
+    uint32_t running { 0 };
+    /// Declared sizes of its running tasks.
+    Resources used;
+    uint32_t waitingJobs { 0 };
+    JobIndex oldestWaiting { noIndex };
+    JobIndex newestWaiting { noIndex };
+    /// One queue per team that ever submitted to this row; turns go round from `nextQueue`.
+    std::vector<QueueIndex> queues;
+    uint32_t nextQueue { 0 };
+    /// Nothing of the row could start when the engine's progress counter had this value.
+    uint64_t blockedAt { 0 };
+    /// Measured run time over declared run time.
+    RunEstimate runRatio;
+    RunEstimate runSeconds;
+
+    bool isFull() const { return row.maxRunning && running >= row.maxRunning; }
+    uint32_t roomToRun() const
+    {
+        return row.maxRunning ? row.maxRunning - std::min(running, row.maxRunning) : UINT32_MAX;
+    }
+    /// True if work may start at this minute of the day (UTC).
+    bool isOpenAt(uint32_t minute) const
+    {
+        const uint32_t start = row.hours.startMinute;
+        const uint32_t end = row.hours.endMinute;
+        if (start == end)
+            return true;
+        return start < end ? minute >= start && minute < end : minute >= start || minute < end;
+    }
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/ShapeTable.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/Resources.h"
+#include "placement/Indices.h"
+
+namespace hickoryknot {
+
+/// The distinct task sizes. A size that fits nowhere is not tried again until some worker gained enough for it. Sizes
+/// past the limit are not tracked and are tried each time.
+class ShapeTable {
+public:
+    /// Counts one more job of this size. Linear in the number of distinct sizes; noIndex past the limit.
+    ShapeIndex add(const Resources& need)
+    {
+        ShapeIndex unused = noIndex;
+        for (ShapeIndex shape = 0; shape < m_entries.size(); ++shape) {
+            if (!m_entries[shape].jobs)
+                unused = shape;
+            else if (m_entries[shape].need == need) {
+                ++m_entries[shape].jobs;
+                return shape;
+            }
+        }
+        if (unused == noIndex) {
+            if (m_entries.size() == maxShapes)
+                return noIndex;
+            unused = static_cast<ShapeIndex>(m_entries.size());
+            m_entries.emplace_back();
+        }
+        m_entries[unused] = { need, 1, false };
+        return unused;
+    }
+
+    void remove(ShapeIndex shape)
+    {
+        if (shape != noIndex)
+            --m_entries[shape].jobs;
+    }
+
+    bool isBlocked(ShapeIndex shape) const { return shape != noIndex && m_entries[shape].isBlocked; }
+    void block(ShapeIndex shape)
+    {
+        if (shape == noIndex)
+            return;
+        m_entries[shape].isBlocked = true;
+        m_hasBlocked = true;
+    }
+
+    /// Unblocks the sizes that `fits` accepts; true if there was one.
+    template <typename Fits> bool unblock(Fits&& fits)
+    {
+        if (!m_hasBlocked)
+            return false;
+        bool isAny = false;
+        m_hasBlocked = false;
+        for (Entry& entry : m_entries) {
+            if (!entry.isBlocked || !entry.jobs)
+                continue;
+            if (fits(entry.need)) {
+                entry.isBlocked = false;
+                isAny = true;
+            } else {
+                m_hasBlocked = true;
+            }
+        }
+        return isAny;
+    }
+
+private:
+    // Keeps submitting and ending tasks cheap however varied the sizes are.
+    static constexpr size_t maxShapes = 512;
+
+    struct Entry {
+        Resources need;
+        uint32_t jobs { 0 };
+        bool isBlocked { false };
+    };
+
+    std::vector<Entry> m_entries;
+    bool m_hasBlocked { false };
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/SpreadChooser.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "placement/WorkerChooser.h"
+
+namespace hickoryknot {
+
+/// Spreads the tasks of a job over racks first, then over the workers of the rack.
+class SpreadChooser final : public WorkerChooser {
+public:
+    Choice choose(const EngineState&, const JobRecord&) const override;
+};
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/TaskLedger.cpp
@@ -0,0 +1,173 @@
+#include "placement/TaskLedger.h"
+
+#include "core/Assert.h"
+
+namespace hickoryknot {
+
+void TaskLedger::start(JobIndex job, const Choice& choice, TimePoint now)
+{
+    JobRecord& record = m_state.jobs[job];
+    HICKORYKNOT_ASSERT(record.perTask.fitsInto(m_state.workers[choice.worker].free), "a worker is overcommitted");
+    const uint32_t task = record.queuedTasks.back();
+    record.queuedTasks.pop_back();
+    Run run;
+    run.worker = choice.worker;
+    run.reason = choice.reason;
+    run.comparedWorkers = choice.compared;
+    run.waited = now - record.queuedSince;
+    run.waitedFor = record.waitedFor;
+    book(job, task, run, now);
+    ++m_state.statistics.placedTasks;
+
+    // The next task of the job starts its own wait.
+    m_state.waiting.renewAge(m_state.jobs, m_state.rowOf(record), job);
+    record.waitingSince = now;
+    record.waitedFor = WaitCause::Turn;
+    requeue(job, now);
+}
+
+void TaskLedger::adopt(JobIndex job, uint32_t task, WorkerIndex worker, TimePoint startedAt)
+{
+    JobRecord& record = m_state.jobs[job];
+    std::erase(record.queuedTasks, task);
+    Run run;
+    run.worker = worker;
+    run.reason = "adopted after a change of leader";
+    book(job, task, run, startedAt);
+    requeue(job, startedAt);
+}
+
+void TaskLedger::book(JobIndex job, uint32_t task, Run run, TimePoint startedAt)
+{
+    JobRecord& record = m_state.jobs[job];
+    WorkerRecord& worker = m_state.workers[run.worker];
+    run.job = job;
+    run.task = task;
+    run.need = record.perTask;
+    run.startedAt = startedAt;
+    run.openBefore = worker.free;
+    run.expectedEnd = record.kind == JobKind::Service ? TimePoint::max() : startedAt + m_state.expectedRun(record);
+    run.used = record.usedMillicores.isKnown() ? Millicores(static_cast<int64_t>(record.usedMillicores.mean()))
+                                               : record.perTask.millicores;
+    if (record.rackCounts.size() <= worker.rack)
+        record.rackCounts.resize(m_state.workers.racks());
+    run.othersInRack = worker.rack < record.rackCounts.size() ? record.rackCounts[worker.rack]++ : 0;
+
+    worker.free -= run.need;
+    worker.used += run.used;
+    ++worker.runs;
+    RowRecord& row = m_state.rowOf(record);
+    ++row.running;
+    row.used += run.need;
+    TeamRecord& team = m_state.teams[record.team];
+    ++team.running;
+    team.used += run.need;
+    ++record.running;
+    record.taskRuns[task] = m_state.runs.add(run);
+    link(record.taskRuns[task]);
+    m_state.workers.reindex(run.worker);
+}
+
+void TaskLedger::release(RunIndex index)
+{
+    const Run run = m_state.runs[index];
+    JobRecord& record = m_state.jobs[run.job];
+    WorkerRecord& worker = m_state.workers[run.worker];
+    unlink(index);
+    worker.free += run.need;
+    worker.used -= run.used;
+    --worker.runs;
+    RowRecord& row = m_state.rowOf(record);
+    if (row.isFull())
+        ++m_state.progress;
+    --row.running;
+    row.used -= run.need;
+    TeamRecord& team = m_state.teams[record.team];
+    --team.running;
+    team.used -= run.need;
+    if (team.isAwaited) {
+        team.isAwaited = false;
+        ++m_state.progress;
+    }
+    --record.running;
+    record.taskRuns[run.task] = noIndex;
+    if (worker.rack < record.rackCounts.size() && record.rackCounts[worker.rack])
+        --record.rackCounts[worker.rack];
+    m_state.runs.remove(index);
+    m_state.workers.reindex(run.worker);
+    noteGain(run.worker);
+}
+
+void TaskLedger::noteGain(WorkerIndex worker)
+{
+    ++m_state.releases;
+    const WorkerTable& workers = m_state.workers;
+    // Work may also start on lent capacity or as a probe, which the open capacity does not show.
+    const Resources& free = workers[worker].free;
+    const bool isSpecial = workers[worker].isOnProbation || workers[worker].held != Resources {};
+    const auto mayFit
+        = [&](const Resources& need) { return isSpecial ? need.fitsInto(free) : workers.fits(worker, need); };
+    if (m_state.shapes.unblock(mayFit))
+        ++m_state.progress;
+}
+
+void TaskLedger::moveRack(WorkerIndex worker, RackIndex from)
+{
+    for (RunIndex run = m_state.workers[worker].firstRun; run != noIndex; run = m_state.runs[run].next) {
+        std::vector<uint32_t>& counts = m_state.jobs[m_state.runs[run].job].rackCounts;
+        if (counts.size() < m_state.workers.racks())
+            counts.resize(m_state.workers.racks());
+        // Tasks adopted before the first rack was known were not counted.
+        if (counts[from])
+            --counts[from];
+        ++counts[m_state.workers[worker].rack];
+    }
+}
+
+void TaskLedger::requeue(JobIndex job, TimePoint now)
+{
+    JobRecord& record = m_state.jobs[job];
+    RowRecord& row = m_state.rowOf(record);
+    const bool isGangRunning = record.kind == JobKind::Gang && record.running;
+    const bool mayWait = record.mayStart() && record.queuedTasks.size() > record.heldTasks && !isGangRunning;
+    if (mayWait && record.notBefore > now) {
+        m_state.waiting.remove(m_state.jobs, row, job);
+        m_state.timers.add({ record.notBefore, job, record.generation });
+        return;
+    }
+    if (!mayWait) {
+        m_state.waiting.remove(m_state.jobs, row, job);
+        return;
+    }
+    if (record.isWaiting)
+        return;
+    // Longest first fills the open hours best; a service that lost a task goes before all else of its row.
+    const bool hasHours
+        = m_state.settings.mechanisms.ordersRows && row.row.hours.startMinute != row.row.hours.endMinute;
+    const bool isReplacement = record.kind == JobKind::Service && (record.finished || record.failuresInRow);
+    record.rank = isReplacement ? INT64_MIN : hasHours ? -m_state.expectedRun(record).count() : 0;
+    m_state.waiting.add(m_state.jobs, row, job);
+}
+
+void TaskLedger::link(RunIndex index)
+{
+    Run& run = m_state.runs[index];
+    WorkerRecord& worker = m_state.workers[run.worker];
+    run.next = worker.firstRun;
+    if (run.next != noIndex)
+        m_state.runs[run.next].previous = index;
+    worker.firstRun = index;
+}
+
+void TaskLedger::unlink(RunIndex index)
+{
+    const Run& run = m_state.runs[index];
+    if (run.next != noIndex)
+        m_state.runs[run.next].previous = run.previous;
+    if (run.previous != noIndex)
+        m_state.runs[run.previous].next = run.next;
+    else
+        m_state.workers[run.worker].firstRun = run.next;
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/Wording.cpp
@@ -0,0 +1,66 @@
+#include "placement/Wording.h"
+
+#include <fmt/format.h>
+#include <vector>
+
+namespace hickoryknot {
+
+namespace {
+
+std::string describeCores(Millicores amount)
+{
+    const double cores = static_cast<double>(amount.count()) / 1000;
+    return fmt::format("{:g} {}", cores, amount.count() == 1000 ? "core" : "cores");
+}
+
+std::string describeAccelerators(Accelerators amount)
+{
+    return fmt::format("{} {}", amount.count(), amount.count() == 1 ? "accelerator" : "accelerators");
+}
+
+std::string joined(const std::vector<std::string>& parts)
+{
+    std::string text;
+    for (size_t i = 0; i < parts.size(); ++i)
+        text += (i == 0 ? "" : i + 1 == parts.size() ? " and " : ", ") + parts[i];
+    return text;
+}
+
+} // namespace
+
+std::string describe(const Resources& amount)
+{
+    std::vector<std::string> parts;
+    if (amount.millicores.count())
+        parts.push_back(describeCores(amount.millicores));
+    if (amount.mebibytes.count())
+        parts.push_back(fmt::format("{} MiB", amount.mebibytes.count()));
+    if (amount.accelerators.count())
+        parts.push_back(describeAccelerators(amount.accelerators));
+    return parts.empty() ? "nothing" : joined(parts);
+}
+
+std::string describeQuota(const Resources& quota)
+{
+    const auto part = [](bool hasLimit, const std::string& limit, const char* unit) {
+        return hasLimit ? limit : fmt::format("any number of {}", unit);
+    };
+    return joined({ part(quota.millicores.count(), describeCores(quota.millicores), "cores"),
+        part(quota.mebibytes.count(), fmt::format("{} MiB", quota.mebibytes.count()), "MiB"),
+        part(quota.accelerators.count(), describeAccelerators(quota.accelerators), "accelerators") });
+}
+
+std::string describe(Duration duration)
+{
+    const int64_t milliseconds = duration.count() / 1000;
+    if (milliseconds < 1000)
+        return fmt::format("{} ms", milliseconds);
+    const int64_t seconds = milliseconds / 1000;
+    if (seconds < 120)
+        return fmt::format("{} s", seconds);
+    if (seconds < 2 * 3600)
+        return fmt::format("{} min", seconds / 60);
+    return fmt::format("{} h {} min", seconds / 3600, seconds / 60 % 60);
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/WorkerTable.cpp
@@ -0,0 +1,113 @@
+#include "placement/WorkerTable.h"
+
+namespace hickoryknot {
+
+WorkerIndex WorkerTable::intern(const WorkerId& worker)
+{
+    const WorkerIndex index = m_names.intern(worker);
+    if (index == m_records.size())
+        m_records.emplace_back();
+    return index;
+}
+
+bool WorkerTable::announce(WorkerIndex worker, const Resources& capacity, const RackId& rack, bool isLeaving)
+{
+    WorkerRecord& record = m_records[worker];
+    const bool isSame = record.isKnown && record.capacity == capacity && record.isLeaving == isLeaving
+        && m_racks.name(record.rack) == rack;
+    if (isSame)
+        return false;
+    setRack(worker, rack);
+    if (!record.isKnown)
+        ++m_knownCount;
+    m_total += capacity - record.capacity;
+    record.free += capacity - record.capacity;
+    record.capacity = capacity;
+    record.isKnown = true;
+    record.isLeaving = isLeaving;
+    reindex(worker);
+    return true;
+}
+
+void WorkerTable::setRack(WorkerIndex worker, const RackId& rack)
+{
+    const RackIndex index = m_racks.intern(rack);
+    if (index == m_rackWorkers.size())
+        m_rackWorkers.emplace_back();
+    std::vector<WorkerIndex>& current = m_rackWorkers[m_records[worker].rack];
+    std::erase(current, worker);
+    m_records[worker].rack = index;
+    m_rackWorkers[index].push_back(worker);
+}
+
+void WorkerTable::forget(WorkerIndex worker)
+{
+    WorkerRecord& record = m_records[worker];
+    if (!record.isKnown)
+        return;
+    --m_knownCount;
+    m_total -= record.capacity;
+    // The failure score stays: a worker that restarts is not a better worker.
+    record.free -= record.capacity;
+    record.capacity = {};
+    record.isKnown = false;
+    std::erase(m_rackWorkers[record.rack], worker);
+    reindex(worker);
+}
+
+void WorkerTable::reindex(WorkerIndex worker)
+{
+    const WorkerRecord& record = m_records[worker];
+    const bool hasAccelerators = record.isOpen() && record.open().accelerators.count() > 0;
+    if (!record.isOpen()) {
+        m_plain.remove(worker);
+        m_besideAccelerators.remove(worker);
+        m_withAccelerators.remove(worker);
+        return;
+    }
+    const Resources open = openFor(worker, {});
+    if (hasAccelerators) {
+        m_plain.remove(worker);
+        m_besideAccelerators.put(worker, open);
+        m_withAccelerators.put(worker, record.open());
+        return;
+    }
+    m_besideAccelerators.remove(worker);
+    m_withAccelerators.remove(worker);
+    m_plain.put(worker, open);
+}
+
+Resources WorkerTable::setAside(const WorkerRecord& record) const
+{
+    const int64_t free = record.open().accelerators.count();
+    if (!m_protectsAccelerators || free <= 0)
+        return {};
+    // Half of the proportional share of each free accelerator: enough to start most accelerator work, while the other
+    // half still serves work without.
+    const int64_t divisor = 2 * record.capacity.accelerators.count();
+    return { Millicores(record.capacity.millicores.count() * free / divisor),
+        Mebibytes(record.capacity.mebibytes.count() * free / divisor), {} };
+}
+
+uint32_t WorkerTable::timesInto(const Resources& need, const Resources& amount)
+{
+    int64_t times = UINT32_MAX;
+    const auto limit = [&times](int64_t part, int64_t whole) {
+        if (part > 0)
+            times = std::min(times, std::max<int64_t>(whole, 0) / part);
+    };
+    limit(need.millicores.count(), amount.millicores.count());
+    limit(need.mebibytes.count(), amount.mebibytes.count());
+    limit(need.accelerators.count(), amount.accelerators.count());
+    return static_cast<uint32_t>(times);
+}
+
+double WorkerTable::dominantShare(const Resources& part) const
+{
+    const auto share = [](int64_t some, int64_t all) { return all > 0 ? static_cast<double>(some) / all : 0; };
+    return std::max({ share(part.millicores.count(), m_total.millicores.count()),
+        share(part.mebibytes.count(), m_total.mebibytes.count()),
+        share(part.accelerators.count(), m_total.accelerators.count()) });
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/placement/WorkerTable.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "core/Ids.h"
+#include "placement/CapacityGrid.h"
+#include "placement/Interner.h"
+#include "placement/WorkerRecord.h"
+
+namespace hickoryknot {
+
+/// Workers by index with an index of their free capacity. Callers change a record and then call reindex().
+class WorkerTable {
+public:
+    explicit WorkerTable(bool protectsAccelerators)
+        : m_protectsAccelerators(protectsAccelerators)
+    {
+    }
+
+    /// The worker's index; an unknown one gets an entry without capacity.
+    WorkerIndex intern(const WorkerId&);
+    WorkerIndex find(const WorkerId& worker) const { return m_names.find(worker); }
+    const WorkerId& name(WorkerIndex worker) const { return m_names.name(worker); }
+    const RackId& rackName(RackIndex rack) const { return m_racks.name(rack); }
+
+    WorkerRecord& operator[](WorkerIndex worker) { return m_records[worker]; }
+    const WorkerRecord& operator[](WorkerIndex worker) const { return m_records[worker]; }
+    uint32_t size() const { return static_cast<uint32_t>(m_records.size()); }
+    uint32_t racks() const { return static_cast<uint32_t>(m_rackWorkers.size()); }
+    const std::vector<WorkerIndex>& workersOfRack(RackIndex rack) const { return m_rackWorkers[rack]; }
+
+    /// Sets capacity, rack and availability; true if anything changed.
+    bool announce(WorkerIndex, const Resources& capacity, const RackId&, bool isLeaving);
+    void forget(WorkerIndex);
+    /// Brings the capacity index in line with the record.
+    void reindex(WorkerIndex);
+
+    uint32_t knownCount() const { return m_knownCount; }
+    const Resources& total() const { return m_total; }
+
+    /// What `need` may use on the worker: not reserved, and not set aside for free accelerators if it needs none.
+    Resources openFor(WorkerIndex worker, const Resources& need) const
+    {
+        const WorkerRecord& record = m_records[worker];
+        return need.accelerators.count() ? record.open() : record.open() - setAside(record);
+    }
+    bool fits(WorkerIndex worker, const Resources& need) const
+    {
+        return m_records[worker].isOpen() && need.fitsInto(openFor(worker, need));
+    }
+
+    /// Visits workers that may fit `need`, tightest first; workers with free accelerators last if it needs none.
+    template <typename Visitor> void search(const Resources& need, Visitor&& visit) const
+    {
+        if (need.accelerators.count()) {
+            m_withAccelerators.search(need, visit);
+            return;
+        }
+        bool goesOn = true;
+        m_plain.search(need, [&](WorkerIndex worker) { return goesOn = visit(worker); });
+        if (goesOn)
+            m_besideAccelerators.search(need, visit);
+    }
+
+    /// How many times `need` goes into `amount`.
+    static uint32_t timesInto(const Resources& need, const Resources& amount);
+    /// The larger of the processor, memory and accelerator shares of `part` in the known workers' total.
+    double dominantShare(const Resources& part) const;
+
+private:
+    Resources setAside(const WorkerRecord&) const;
+    void setRack(WorkerIndex, const RackId&);
+
+    bool m_protectsAccelerators;
+    Interner<WorkerId> m_names;
+    Interner<RackId> m_racks;
+    std::vector<WorkerRecord> m_records;
+    std::vector<std::vector<WorkerIndex>> m_rackWorkers;
+    uint32_t m_knownCount { 0 };
+    Resources m_total;
+
+    // Rebuildable index: workers without and with free accelerators, by what work without accelerators may use, and
+    // workers with free accelerators by what is open.
+    CapacityGrid m_plain;
+    CapacityGrid m_besideAccelerators;
+    CapacityGrid m_withAccelerators;
+};
+
+} // namespace hickoryknot
