--- a/src/routing/FairTurns.h
+++ b/src/routing/FairTurns.h
@@ -28,8 +28,13 @@
     {
         if (row >= m_rows.size())
             m_rows.resize(row + 1);
-        m_rows[row].weight = std::max(weight, 1U);
-        m_rows[row].priority = std::min(priority, maxPriority);
+        Row& entry = m_rows[row];
+        entry.weight = std::max(weight, 1U);
+        // Service so far compares only within one priority.
+        const uint32_t bounded = std::min(priority, maxPriority);
+        if (entry.priority != bounded)
+            entry.pass = m_virtualTime[bounded];
+        entry.priority = bounded;
     }
 
     /// The row got its first waiting request. It earns nothing for the time in which it had none.
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -9,7 +9,8 @@
 /// Unused allowance is saved up to a bound, which limits the burst when servers start to fail.
 class RetryBudget {
 public:
-    explicit RetryBudget(uint32_t percent = 0) { setPercent(percent); }
+    RetryBudget() = default;
+    explicit RetryBudget(uint32_t percent) { setPercent(percent); }
 
     /// A row that allows retries at all may do a few before its first attempts have earned them.
     void setPercent(uint32_t percent)
