--- a/src/membership/HostRegistry.h
+++ b/src/membership/HostRegistry.h
@@ -11,8 +11,8 @@
 
 /// What a host last said of itself, and when. Soft state: lost with the process and rebuilt within one peer interval.
 struct HostView {
-    HostId host;
-    ZoneId zone;
+    HostId host {};
+    ZoneId zone {};
     uint64_t storeId { 0 };
     uint64_t incarnation { 0 };
     uint64_t sequence { 0 };
@@ -22,8 +22,8 @@
     uint64_t zoneCutOffVersion { 0 };
     bool isDraining { false };
     /// Free capacity of the host's zone; meaningful while `leadsZone`.
-    Resources free;
-    TimePoint heardAt;
+    Resources free {};
+    TimePoint heardAt {};
 };
 
 struct HostRegistrySettings {
--- a/src/membership/WorkerRegistry.h
+++ b/src/membership/WorkerRegistry.h
@@ -12,13 +12,13 @@
 
 /// What a worker last said of itself, and when. Soft state of the zone leader.
 struct WorkerView {
-    WorkerId worker;
+    WorkerId worker {};
     uint64_t incarnation { 0 };
-    RackId rack;
-    Resources capacity;
+    RackId rack {};
+    Resources capacity {};
     bool isLeaving { false };
     bool isSilent { false };
-    TimePoint heardAt;
+    TimePoint heardAt {};
 };
 
 /// What a heartbeat means to the registry.
--- a/src/scheduler/CellControllerSettings.h
+++ b/src/scheduler/CellControllerSettings.h
@@ -10,8 +10,8 @@
 
 /// Settings of one CellController, fixed for its life.
 struct CellControllerSettings {
-    LeaseTimes leases;
-    HostRegistrySettings hosts;
+    LeaseTimes leases {};
+    HostRegistrySettings hosts {};
     /// A host that is still not on the newest table version this long after its commit gets no table lease. With the
     /// lease of 2 s and its drift bound this keeps a change in force everywhere within 3 s.
     Duration tableLag { 500ms };
--- a/src/scheduler/Proposal.h
+++ b/src/scheduler/Proposal.h
@@ -11,15 +11,15 @@
 struct Proposal {
     uint64_t token { 0 };
     /// Encoded CellCommand or ZoneCommand.
-    std::string payload;
+    std::string payload {};
 };
 
 /// What a scheduler or controller wants recorded.
 struct ProposalBatch {
     /// For the own zone's log, in this order.
-    std::vector<Proposal> zone;
+    std::vector<Proposal> zone {};
     /// For the cell's log, through any host.
-    std::vector<Proposal> cell;
+    std::vector<Proposal> cell {};
 
     bool isEmpty() const { return zone.empty() && cell.empty(); }
 };
--- a/src/scheduler/TableAcknowledgement.h
+++ b/src/scheduler/TableAcknowledgement.h
@@ -13,9 +13,9 @@
     /// True once each known host has applied the version or can no longer serve rows with cutOff=stop by an older one.
     bool isComplete { false };
     /// Known hosts that have not applied it.
-    std::vector<HostId> missingHosts;
+    std::vector<HostId> missingHosts {};
     /// Zones of which no host has applied it.
-    std::vector<ZoneId> missingZones;
+    std::vector<ZoneId> missingZones {};
 };
 
 } // namespace hickoryknot
--- a/src/scheduler/ZoneSchedulerSettings.h
+++ b/src/scheduler/ZoneSchedulerSettings.h
@@ -11,9 +11,9 @@
 
 /// Settings of one ZoneScheduler, fixed for its life.
 struct ZoneSchedulerSettings {
-    ZoneId zone;
-    LeaseTimes leases;
-    WorkerRegistrySettings workers;
+    ZoneId zone {};
+    LeaseTimes leases {};
+    WorkerRegistrySettings workers {};
     /// Bounds one record: a placement takes about 40 bytes.
     size_t maxDecisionsPerTick { 4096 };
     /// A proposal to the cell without a result is repeated after this time; its effect is guarded by epochs.
--- a/src/state/CellCommand.h
+++ b/src/state/CellCommand.h
@@ -16,15 +16,15 @@
 
 /// Changes the table. Result: TableChangeResult.
 struct SetTable {
-    TableChange change;
+    TableChange change {};
     UnixMs atMs { 0 };
 };
 
 /// A host joined, restarted or came with another disk. Result: CommandDone, or Conflict if the incarnation is older
 /// than the recorded one.
 struct RecordHost {
-    HostId host;
-    ZoneId zone;
+    HostId host {};
+    ZoneId zone {};
     uint64_t storeId { 0 };
     uint64_t incarnation { 0 };
     UnixMs atMs { 0 };
@@ -32,14 +32,14 @@
 
 /// Hosts silent for so long that nobody waits for them. Result: CommandDone.
 struct ForgetHosts {
-    std::vector<HostId> hosts;
+    std::vector<HostId> hosts {};
 };
 
 /// Names the voters of a zone's group, by compare-and-set on the generation. Result: CommandDone or Conflict.
 struct SetZoneGroup {
-    ZoneId zone;
+    ZoneId zone {};
     uint64_t expectedGeneration { 0 };
-    std::vector<HostId> members;
+    std::vector<HostId> members {};
     /// The old group's state is lost and the zone starts empty: raises the zone's epoch.
     bool startsEmpty { false };
     UnixMs atMs { 0 };
@@ -47,9 +47,9 @@
 
 /// Records a job without a home zone. Result: JobAccepted, RequestKnown or an error.
 struct SubmitCellJob {
-    RequestId request;
+    RequestId request {};
     uint64_t contentHash { 0 };
-    JobSpec spec;
+    JobSpec spec {};
     UnixMs atMs { 0 };
 };
 
@@ -59,9 +59,9 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
-        ZoneId zone;
+        ZoneId zone {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
@@ -71,16 +71,16 @@
         uint32_t job { 0 };
         uint64_t epoch { 0 };
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     /// Static code for explain: zone_draining, no_capacity, ...
-    std::string reason;
+    std::string reason {};
     UnixMs atMs { 0 };
 };
 
 /// The zone's lease with its drift has passed: jobs there with cutOff=stop are queued again; jobs that are not
 /// repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
 struct ReleaseZone {
-    ZoneId zone;
+    ZoneId zone {};
     UnixMs atMs { 0 };
 };
 
@@ -89,9 +89,9 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
-        Outcome outcome;
+        Outcome outcome {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
@@ -104,7 +104,7 @@
 /// The zone has recorded the cut-off rules of this table version for all its jobs, so that jobs may be released by the
 /// stricter rule. Result: CommandDone.
 struct ConfirmCutOff {
-    ZoneId zone;
+    ZoneId zone {};
     uint64_t tableVersion { 0 };
 };
 
--- a/src/state/CellJob.h
+++ b/src/state/CellJob.h
@@ -21,10 +21,10 @@
 /// A job without a home zone, as the cell records it.
 struct CellJob {
     uint32_t number { 0 };
-    JobSpec spec;
-    RequestId request;
+    JobSpec spec {};
+    RequestId request {};
     CellJobPhase phase { CellJobPhase::Queued };
-    ZoneId zone;
+    ZoneId zone {};
     /// Grows with each assignment to a zone; 0 before the first.
     uint64_t epoch { 0 };
     /// The rule that the zone is known to follow for this job.
@@ -33,8 +33,8 @@
     /// When `phase` and `zone` last changed.
     UnixMs sinceMs { 0 };
     /// Code of the last change: submitted, assigned, zone_lease_expired, or what the zone gave as reason.
-    std::string reason;
-    Outcome outcome;
+    std::string reason {};
+    Outcome outcome {};
 };
 
 } // namespace hickoryknot
--- a/src/state/CommandResult.h
+++ b/src/state/CommandResult.h
@@ -17,7 +17,7 @@
 
 /// A new job was recorded, or the same request id had made it before.
 struct JobAccepted {
-    JobId job;
+    JobId job {};
 };
 
 /// The host that proposed the command may start the request now, once.
@@ -27,7 +27,7 @@
 struct RequestKnown {
     /// True while it runs on another host and there is no outcome yet.
     bool isRunning { false };
-    Outcome outcome;
+    Outcome outcome {};
 };
 
 /// For each entry of a batch, in order: 0 for skipped, else the epoch that the entry got or ended.
--- a/src/state/HostRecord.h
+++ b/src/state/HostRecord.h
@@ -10,8 +10,8 @@
 
 /// A host of the cell as recorded.
 struct HostRecord {
-    HostId host;
-    ZoneId zone;
+    HostId host {};
+    ZoneId zone {};
     uint64_t storeId { 0 };
     uint64_t incarnation { 0 };
     UnixMs sinceMs { 0 };
@@ -19,12 +19,12 @@
 
 /// A zone of the cell as recorded.
 struct ZoneRecord {
-    ZoneId zone;
+    ZoneId zone {};
     /// Grows when the zone's group starts empty.
     uint64_t epoch { 1 };
     /// Grows with each named set of voters.
     uint64_t generation { 0 };
-    std::vector<HostId> members;
+    std::vector<HostId> members {};
     UnixMs sinceMs { 0 };
 };
 
--- a/src/state/JobSpec.h
+++ b/src/state/JobSpec.h
@@ -14,14 +14,14 @@
 /// What a job asks for, as recorded. The row's rule on repeatability is resolved when the job is recorded, so that a
 /// later table change never lets a started task start twice.
 struct JobSpec {
-    RowName row;
-    TeamId team;
+    RowName row {};
+    TeamId team {};
     JobKind kind { JobKind::Batch };
     uint32_t tasks { 1 };
-    Resources perTask;
+    Resources perTask {};
     Duration expectedRun { 0 };
     bool isRepeatable { true };
-    std::string command;
+    std::string command {};
 
     friend bool operator==(const JobSpec&, const JobSpec&) = default;
 };
--- a/src/state/RequestBook.h
+++ b/src/state/RequestBook.h
@@ -26,12 +26,12 @@
     uint64_t contentHash { 0 };
     RequestPhase phase { RequestPhase::Ended };
     /// The job it made, if it submitted one.
-    JobNumber job;
+    JobNumber job {};
     /// The entry host that runs it while it is Started.
-    HostId host;
+    HostId host {};
     /// While Started: after this moment the outcome counts as lost. Once Ended: when the record goes.
     UnixMs untilMs { 0 };
-    Outcome outcome;
+    Outcome outcome {};
 };
 
 /// What a request id means to its home.
--- a/src/state/RequestCommands.h
+++ b/src/state/RequestCommands.h
@@ -9,9 +9,9 @@
 /// Asks to start a request that is not repeatable. Only RequestStarted lets the host send it to a backend server; every
 /// other result means that it must not. Result: RequestStarted, RequestKnown or an error.
 struct StartRequest {
-    RequestId request;
+    RequestId request {};
     uint64_t contentHash { 0 };
-    HostId host;
+    HostId host {};
     /// When the host gives up waiting for the backend server.
     UnixMs deadlineMs { 0 };
     UnixMs atMs { 0 };
@@ -19,14 +19,14 @@
 
 /// The outcome of a started request. Result: RequestKnown with the first outcome, or NotFound.
 struct EndRequest {
-    RequestId request;
-    Outcome outcome;
+    RequestId request {};
+    Outcome outcome {};
     UnixMs atMs { 0 };
 };
 
 /// A host has died: what it had started without outcome is unknown. Result: CommandDone.
 struct AbandonRequests {
-    HostId host;
+    HostId host {};
     UnixMs atMs { 0 };
 };
 
--- a/src/state/WorkerRecord.h
+++ b/src/state/WorkerRecord.h
@@ -9,13 +9,13 @@
 
 /// A worker of a zone as recorded. An empty id marks a free place.
 struct WorkerRecord {
-    WorkerId worker;
+    WorkerId worker {};
     uint64_t incarnation { 0 };
-    RackId rack;
+    RackId rack {};
     /// Declared size: the limit.
-    Resources capacity;
+    Resources capacity {};
     /// Sum over the tasks assigned to it.
-    Resources used;
+    Resources used {};
     uint32_t assigned { 0 };
 };
 
--- a/src/state/ZoneCommand.h
+++ b/src/state/ZoneCommand.h
@@ -17,9 +17,9 @@
 
 /// Records a job with this home zone. Result: JobAccepted, RequestKnown or an error.
 struct SubmitZoneJob {
-    RequestId request;
+    RequestId request {};
     uint64_t contentHash { 0 };
-    JobSpec spec;
+    JobSpec spec {};
     CutOffRule cutOff { CutOffRule::Stop };
     UnixMs atMs { 0 };
 };
@@ -31,58 +31,58 @@
         uint32_t job { 0 };
         uint64_t epoch { 0 };
         CutOffRule cutOff { CutOffRule::Stop };
-        JobSpec spec;
+        JobSpec spec {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
 /// Workers that joined, restarted or changed size. Older incarnations than recorded are skipped. Result: BatchDone.
 struct RecordWorkers {
     struct Entry {
-        WorkerId worker;
+        WorkerId worker {};
         uint64_t incarnation { 0 };
-        RackId rack;
-        Resources capacity;
+        RackId rack {};
+        Resources capacity {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
 };
 
 /// Workers silent for so long that nobody waits for them; those with tasks are skipped. Result: CommandDone.
 struct ForgetWorkers {
-    std::vector<WorkerId> workers;
+    std::vector<WorkerId> workers {};
 };
 
 /// Assigns queued tasks to workers. A task is skipped if it is not queued or the worker has no room by its recorded
 /// capacity; of a gang, all queued tasks are placed together or all skipped. Result: BatchDone with assignment epochs.
 struct PlaceTasks {
     struct Entry {
-        JobNumber job;
+        JobNumber job {};
         uint32_t task { 0 };
-        WorkerId worker;
+        WorkerId worker {};
         uint64_t incarnation { 0 };
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
 /// Ends assignments. Entries of another assignment epoch are skipped. Result: BatchDone.
 struct EndTasks {
     struct Entry {
-        JobNumber job;
+        JobNumber job {};
         uint32_t task { 0 };
         uint64_t epoch { 0 };
         TaskResult result { TaskResult::Finished };
         int32_t exitCode { 0 };
         Duration runTime { 0 };
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
 /// Cancels many jobs with one record. Result: BatchDone.
 struct CancelZoneJobs {
-    std::vector<JobNumber> jobs;
+    std::vector<JobNumber> jobs {};
     UnixMs atMs { 0 };
 };
 
@@ -97,17 +97,17 @@
 /// have run is skipped. Result: BatchDone.
 struct GiveBackJobs {
     std::vector<uint32_t> jobs;
-    std::string reason;
+    std::string reason {};
     UnixMs atMs { 0 };
 };
 
 /// Ends jobs that can never run. Result: BatchDone.
 struct RefuseJobs {
     struct Entry {
-        JobNumber job;
-        std::string reason;
+        JobNumber job {};
+        std::string reason {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
@@ -119,10 +119,10 @@
 /// The cut-off rules that hold for the zone's jobs from now on, as of one table version. Result: CommandDone.
 struct RecordCutOff {
     struct Entry {
-        JobNumber job;
+        JobNumber job {};
         CutOffRule cutOff { CutOffRule::Stop };
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     uint64_t tableVersion { 0 };
 };
 
--- a/src/state/ZoneJob.h
+++ b/src/state/ZoneJob.h
@@ -24,25 +24,25 @@
 
 /// A job that runs in a zone, as the zone records it.
 struct ZoneJob {
-    JobNumber number;
-    JobSpec spec;
+    JobNumber number {};
+    JobSpec spec {};
     /// Of jobs with this home zone only.
-    RequestId request;
+    RequestId request {};
     /// Epoch of the cell's assignment; 0 for jobs with this home zone.
     uint64_t epoch { 0 };
     ZoneJobPhase phase { ZoneJobPhase::Active };
     CutOffRule cutOff { CutOffRule::Stop };
     UnixMs submittedMs { 0 };
     UnixMs sinceMs { 0 };
-    std::vector<TaskRecord> tasks;
+    std::vector<TaskRecord> tasks {};
     /// Counts over `tasks`.
     uint32_t queued { 0 };
     uint32_t assigned { 0 };
     uint32_t finished { 0 };
     uint32_t failed { 0 };
     /// Code of the last change of `phase`.
-    std::string reason;
-    Outcome outcome;
+    std::string reason {};
+    Outcome outcome {};
 
     bool isOpen() const { return phase != ZoneJobPhase::Ended && phase != ZoneJobPhase::GivenBack; }
 };
--- /dev/null
+++ b/src/table/RowColumns.cpp
@@ -0,0 +1,220 @@
+#include "table/RowColumns.h"
+
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace hickoryknot {
+
+namespace {
+
+// One week: work that may wait longer than that belongs into another class.
+constexpr int64_t maxWaitMs = 7LL * 24 * 3600 * 1000;
+// Ten times the design size of a cell in each dimension.
+constexpr int64_t maxQuotaMillicores = 1'000'000'000;
+constexpr int64_t maxQuotaMebibytes = 4'000'000'000;
+constexpr int64_t maxQuotaAccelerators = 100'000;
+
+int64_t toNumber(uint32_t value) { return value; }
+int64_t toNumber(Duration value) { return value / 1ms; }
+template <typename Tag> int64_t toNumber(Quantity<Tag> value) { return value.count(); }
+
+void assign(uint32_t& target, int64_t value) { target = static_cast<uint32_t>(value); }
+void assign(Duration& target, int64_t value) { target = value * 1ms; }
+template <typename Tag> void assign(Quantity<Tag>& target, int64_t value) { target = Quantity<Tag>(value); }
+
+Expected<void> outOfRange(std::string_view text, const std::string& allowed)
+{
+    return makeError(ErrorCode::InvalidArgument, fmt::format("'{}' is not allowed; allowed: {}", text, allowed));
+}
+
+template <auto access> std::string formatNumber(const Row& row) { return std::to_string(toNumber(access(row))); }
+
+template <auto access, int64_t min, int64_t max> Expected<void> parseNumber(Row& row, std::string_view text)
+{
+    int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = failure == std::errc() && end == text.data() + text.size();
+    if (!isWhole || value < min || value > max)
+        return outOfRange(text, fmt::format("whole numbers from {} to {}", min, max));
+    assign(access(row), value);
+    return {};
+}
+
+template <auto access> std::string formatBoolean(const Row& row) { return access(row) ? "true" : "false"; }
+
+template <auto access> Expected<void> parseBoolean(Row& row, std::string_view text)
+{
+    if (text != "true" && text != "false")
+        return outOfRange(text, "true, false");
+    access(row) = text == "true";
+    return {};
+}
+
+// Columns with two texts map to an enumeration with values 0 and 1.
+template <auto access, auto first, auto second> Expected<void> parseChoice(Row& row, std::string_view text)
+{
+    if (text != first() && text != second())
+        return outOfRange(text, fmt::format("{}, {}", first(), second()));
+    using Choice = std::remove_reference_t<decltype(access(row))>;
+    access(row) = text == first() ? Choice { 0 } : Choice { 1 };
+    return {};
+}
+
+template <auto access, auto first, auto second> std::string formatChoice(const Row& row)
+{
+    return static_cast<int>(access(row)) == 0 ? first() : second();
+}
+
+std::string formatName(const Row& row) { return row.name.value(); }
+
+Expected<void> parseName(Row& row, std::string_view text)
+{
+    if (!RowName::isValid(text))
+        return outOfRange(text, "1 to 128 letters, digits and ._:-");
+    row.name = RowName(std::string(text));
+    return {};
+}
+
+std::string formatMinute(uint16_t minute) { return fmt::format("{:02}:{:02}", minute / 60, minute % 60); }
+
+std::string formatHours(const Row& row)
+{
+    if (row.hours.startMinute == row.hours.endMinute)
+        return "always";
+    return formatMinute(row.hours.startMinute) + "-" + formatMinute(row.hours.endMinute);
+}
+
+// Minutes since midnight of `HH:MM`, or -1.
+int parseMinute(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789";
+    if (text.size() != 5 || text[2] != ':')
+        return -1;
+    for (const size_t at : { 0, 1, 3, 4 }) {
+        if (digits.find(text[at]) == std::string_view::npos)
+            return -1;
+    }
+    const int hour = (text[0] - '0') * 10 + (text[1] - '0');
+    const int minute = (text[3] - '0') * 10 + (text[4] - '0');
+    return hour < 24 && minute < 60 ? hour * 60 + minute : -1;
+}
+
+Expected<void> parseHours(Row& row, std::string_view text)
+{
+    if (text == "always") {
+        row.hours = {};
+        return {};
+    }
+    const bool hasForm = text.size() == 11 && text[5] == '-';
+    const int start = hasForm ? parseMinute(text.substr(0, 5)) : -1;
+    const int end = hasForm ? parseMinute(text.substr(6)) : -1;
+    if (start < 0 || end < 0 || start == end)
+        return outOfRange(text, "always, or HH:MM-HH:MM with two different times");
+    row.hours = { .startMinute = static_cast<uint16_t>(start), .endMinute = static_cast<uint16_t>(end) };
+    return {};
+}
+
+#define HICKORYKNOT_FIELD(member)                                                                                      \
+    [](auto& row) -> auto& { return row.member; }
+#define HICKORYKNOT_TEXT(text) [] { return text; }
+#define HICKORYKNOT_NUMBER(member, min, max)                                                                           \
+    formatNumber<HICKORYKNOT_FIELD(member)>, parseNumber<HICKORYKNOT_FIELD(member), min, max>
+#define HICKORYKNOT_BOOLEAN(member) formatBoolean<HICKORYKNOT_FIELD(member)>, parseBoolean<HICKORYKNOT_FIELD(member)>
+#define HICKORYKNOT_CHOICE(member, first, second)                                                                      \
+    formatChoice<HICKORYKNOT_FIELD(member), HICKORYKNOT_TEXT(first), HICKORYKNOT_TEXT(second)>,                        \
+        parseChoice<HICKORYKNOT_FIELD(member), HICKORYKNOT_TEXT(first), HICKORYKNOT_TEXT(second)>
+
+constexpr std::array<RowColumn, 18> columns { {
+    { "name", ColumnType::Text, "", "1 to 128 letters, digits and ._:-",
+        "Names the row; requests and jobs name a class, jobs also name a team.", formatName, parseName },
+    { "kind", ColumnType::Text, "", "class, team", "A class steers work that names it; a team row holds a quota.",
+        HICKORYKNOT_CHOICE(kind, "class", "team") },
+    { "weight", ColumnType::Number, "shares", "1 to 1000",
+        "Share of turns and free capacity relative to the other rows when there is not enough for all.",
+        HICKORYKNOT_NUMBER(weight, 1, 1000) },
+    { "priority", ColumnType::Number, "", "0 to 100", "Work of a higher number goes first.",
+        HICKORYKNOT_NUMBER(priority, 0, 100) },
+    { "repeatable", ColumnType::Boolean, "", "true, false",
+        "Whether work may be started again after it may have run; a request or job may say otherwise for itself.",
+        HICKORYKNOT_BOOLEAN(isRepeatable) },
+    { "targetWaitMs", ColumnType::Number, "ms", "1 to 604800000",
+        "Waiting time before start that the class should keep; the burn report measures against it.",
+        HICKORYKNOT_NUMBER(targetWait, 1, maxWaitMs) },
+    { "waitBoundMs", ColumnType::Number, "ms", "1 to 604800000",
+        "A request that has waited this long is answered not run.", HICKORYKNOT_NUMBER(waitBound, 1, maxWaitMs) },
+    { "queueBound", ColumnType::Number, "requests", "0 to 100000",
+        "Requests that may wait on one entry host; further ones are answered not run at once.",
+        HICKORYKNOT_NUMBER(queueBound, 0, 100000) },
+    { "maxRunning", ColumnType::Number, "tasks", "0 to 1000000",
+        "Tasks and requests that may run at once in the cell; 0 means no limit.",
+        HICKORYKNOT_NUMBER(maxRunning, 0, 1000000) },
+    { "retryBudgetPercent", ColumnType::Number, "percent", "0 to 100",
+        "Retries allowed as a percentage of first attempts.", HICKORYKNOT_NUMBER(retryBudgetPercent, 0, 100) },
+    { "hours", ColumnType::Text, "UTC", "always, or HH:MM-HH:MM",
+        "Time of the day in which work may start; may pass midnight.", formatHours, parseHours },
+    { "placement", ColumnType::Text, "", "spread, pack",
+        "Spread puts tasks on many workers and racks; pack fills few workers.",
+        HICKORYKNOT_CHOICE(placement, "spread", "pack") },
+    { "cutOff", ColumnType::Text, "", "keep, stop",
+        "What happens to work in a zone that is cut off: keep goes on there, stop ends there and may start elsewhere.",
+        HICKORYKNOT_CHOICE(cutOff, "keep", "stop") },
+    { "preemptible", ColumnType::Boolean, "", "true, false",
+        "Whether tasks may be stopped for urgent work and started again later.", HICKORYKNOT_BOOLEAN(isPreemptible) },
+    { "urgent", ColumnType::Boolean, "", "true, false",
+        "Whether work starts within 8 s, at the cost of preemptible work if need be.", HICKORYKNOT_BOOLEAN(isUrgent) },
+    { "quotaMillicores", ColumnType::Number, "millicores", "0 to 1000000000",
+        "Processors that all running tasks of a team may use together; 0 means no limit.",
+        HICKORYKNOT_NUMBER(quota.millicores, 0, maxQuotaMillicores) },
+    { "quotaMebibytes", ColumnType::Number, "MiB", "0 to 4000000000",
+        "Memory that all running tasks of a team may use together; 0 means no limit.",
+        HICKORYKNOT_NUMBER(quota.mebibytes, 0, maxQuotaMebibytes) },
+    { "quotaAccelerators", ColumnType::Number, "accelerators", "0 to 100000",
+        "Accelerators that all running tasks of a team may use together; 0 means no limit.",
+        HICKORYKNOT_NUMBER(quota.accelerators, 0, maxQuotaAccelerators) },
+} };
+
+#undef HICKORYKNOT_FIELD
+#undef HICKORYKNOT_TEXT
+#undef HICKORYKNOT_NUMBER
+#undef HICKORYKNOT_BOOLEAN
+#undef HICKORYKNOT_CHOICE
+
+Expected<void> refuse(const Row& row, const std::string& sentence)
+{
+    return makeError(ErrorCode::InvalidArgument, fmt::format("row '{}': {}", row.name.value(), sentence));
+}
+
+} // namespace
+
+std::span<const RowColumn> rowColumns() { return columns; }
+
+const RowColumn* findRowColumn(std::string_view name)
+{
+    for (const auto& column : columns) {
+        if (column.name == name)
+            return &column;
+    }
+    return nullptr;
+}
+
+Expected<void> checkRow(const Row& row)
+{
+    // Every value must pass its own column, also in rows that did not come from text.
+    for (const auto& column : columns) {
+        Row copy;
+        if (const auto parsed = column.parse(copy, column.format(row)); !parsed)
+            return refuse(row, fmt::format("column {}: {}", column.name, parsed.error().message));
+    }
+    if (row.waitBound < row.targetWait)
+        return refuse(row,
+            fmt::format("waitBoundMs {} is below targetWaitMs {}, so work would be turned away before it is late",
+                row.waitBound / 1ms, row.targetWait / 1ms));
+    if (row.isUrgent && row.isPreemptible)
+        return refuse(row, "urgent and preemptible are both true, so the row would stop its own work");
+    if (row.kind == RowKind::Class && row.quota != Resources {})
+        return refuse(row, "only rows of kind team have a quota");
+    return {};
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/table/Table.cpp
@@ -0,0 +1,166 @@
+#include "table/Table.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+#include <xxhash.h>
+
+#include "core/Assert.h"
+#include "table/RowColumns.h"
+
+namespace hickoryknot {
+
+namespace {
+
+constexpr const char* defaultRow = "default";
+
+bool isBefore(const Row& row, const RowName& name) { return row.name < name; }
+
+Expected<void> refuse(std::string sentence) { return makeError(ErrorCode::InvalidArgument, std::move(sentence)); }
+
+// Null if the table has no row of that name, of either kind.
+const Row* findByName(const std::vector<Row>& rows, const RowName& name)
+{
+    const auto at = std::lower_bound(rows.begin(), rows.end(), name, isBefore);
+    return at != rows.end() && at->name == name ? &*at : nullptr;
+}
+
+} // namespace
+
+Table::Table()
+{
+    Row row;
+    row.name = RowName(defaultRow);
+    m_content.rows.push_back(row);
+    m_content.changedBy = "hickoryknot";
+}
+
+const Row* Table::find(RowKind kind, const RowName& name) const
+{
+    const Row* row = findByName(m_content.rows, name);
+    return row && row->kind == kind ? row : nullptr;
+}
+
+Expected<void> Table::check(const TableChange& change) const
+{
+    if (change.rows.empty() && change.removed.empty())
+        return refuse("the change names no row");
+    std::set<RowName> named;
+    size_t added = 0;
+    // Rows to add or replace.
+    for (const auto& row : change.rows) {
+        if (const auto checked = checkRow(row); !checked)
+            return checked;
+        if (!named.insert(row.name).second)
+            return refuse(fmt::format("row '{}' appears twice in the change", row.name.value()));
+        const Row* old = findByName(m_content.rows, row.name);
+        if (old && old->kind != row.kind)
+            return refuse(fmt::format("row '{}' exists with another kind; remove it first", row.name.value()));
+        added += !old;
+    }
+    // Rows to remove.
+    for (const auto& name : change.removed) {
+        if (!named.insert(name).second)
+            return refuse(fmt::format("row '{}' appears twice in the change", name.value()));
+        if (name.value() == defaultRow)
+            return refuse("row 'default' cannot be removed: work that names no other row uses it");
+        if (!findByName(m_content.rows, name))
+            return refuse(fmt::format("row '{}' is to be removed but does not exist", name.value()));
+    }
+    if (m_content.rows.size() + added - change.removed.size() > maxRows)
+        return refuse(fmt::format("the table would have more than {} rows", maxRows));
+    return {};
+}
+
+TableChangeResult Table::set(const TableChange& change)
+{
+    const uint64_t hash = contentHash(change);
+    // A resend gets the first outcome; the same id with other content is a mistake of the client.
+    if (const auto known = m_outcomeOf.find(change.request); known != m_outcomeOf.end()) {
+        const auto& first = m_content.outcomes[known->second - m_droppedOutcomes];
+        if (first.contentHash == hash)
+            return first.result;
+        return { .version = version(),
+            .reason = "request_id_reused",
+            .sentence = fmt::format(
+                "Request id {} was used before for another change; nothing was changed.", change.request.value()) };
+    }
+    const auto result = decide(change);
+    if (result.isAccepted)
+        apply(change);
+    remember(change, hash, result);
+    return result;
+}
+
+TableChangeResult Table::decide(const TableChange& change) const
+{
+    if (change.baseVersion != version())
+        return { .version = version(),
+            .wonBy = m_content.changedBy,
+            .wonByRequest = m_content.changedByRequest,
+            .reason = "version_conflict",
+            .sentence = fmt::format(
+                "The change was made for version {}, but version {} by {} is in force; nothing was changed. Read the "
+                "table again and repeat the change.",
+                change.baseVersion, version(), m_content.changedBy) };
+    if (const auto checked = check(change); !checked)
+        return { .version = version(), .reason = "invalid_change", .sentence = checked.error().message };
+    return { .isAccepted = true,
+        .version = version() + 1,
+        .sentence = fmt::format("The change is version {} of the table.", version() + 1) };
+}
+
+void Table::apply(const TableChange& change)
+{
+    auto& rows = m_content.rows;
+    for (const auto& name : change.removed)
+        std::erase_if(rows, [&](const Row& row) { return row.name == name; });
+    for (const auto& row : change.rows) {
+        const auto at = std::lower_bound(rows.begin(), rows.end(), row.name, isBefore);
+        if (at != rows.end() && at->name == row.name)
+            *at = row;
+        else
+            rows.insert(at, row);
+    }
+    ++m_content.version;
+    m_content.changedBy = change.changedBy;
+    m_content.changedByRequest = change.request;
+}
+
+void Table::remember(const TableChange& change, uint64_t hash, const TableChangeResult& result)
+{
+    auto& outcomes = m_content.outcomes;
+    m_outcomeOf[change.request] = m_droppedOutcomes + outcomes.size();
+    outcomes.push_back({ .request = change.request, .contentHash = hash, .result = result });
+    if (outcomes.size() <= maxOutcomes)
+        return;
+    m_outcomeOf.erase(outcomes.front().request);
+    outcomes.pop_front();
+    ++m_droppedOutcomes;
+}
+
+void Table::restore(Content content)
+{
+    HICKORYKNOT_ASSERT(content.version >= 1, "a table has a version");
+    m_content = std::move(content);
+    m_outcomeOf.clear();
+    m_droppedOutcomes = 0;
+    for (size_t i = 0; i < m_content.outcomes.size(); ++i)
+        m_outcomeOf[m_content.outcomes[i].request] = i;
+}
+
+uint64_t contentHash(const TableChange& change)
+{
+    // Separators cannot occur in names and values, so different content gives different text.
+    std::string text = fmt::format("{}\n", change.baseVersion);
+    for (const auto& row : change.rows) {
+        for (const auto& column : rowColumns())
+            text += column.format(row) + ",";
+        text += "\n";
+    }
+    for (const auto& name : change.removed)
+        text += "-" + name.value() + "\n";
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace hickoryknot
