Implement the cell's and the zones' replicated state

Cause: both state machines had headers only. Change: typed commands and results in CBOR, one description of each structure for writing and reading; request ids with first outcomes; jobs, assignments and workers with the checks that hold whoever proposes: capacity by declared size, gangs whole or not at all, no second start of what must not run twice, assignment epochs. A zone's epoch grows when the cell takes its jobs away. The rule keep becomes stop for a job only once the zone has recorded the rule, because a zone that is cut off does not know of the change. Ruled out: a maximum of logged time per command, which would only slow a wrong clock down.

--- /dev/null
+++ b/src/membership/HostRegistry.cpp
@@ -0,0 +1,54 @@
+#include "membership/HostRegistry.h"
+
+#include <utility>
+
+namespace hickoryknot {
+
+bool HostRegistry::heard(const PeerMessage& message, TimePoint now)
+{
+    const auto [at, isNew] = m_hosts.try_emplace(message.host);
+    HostView& view = at->second;
+    // Messages may overtake each other.
+    if (!isNew && std::pair(message.incarnation, message.sequence) <= std::pair(view.incarnation, view.sequence))
+        return false;
+    view = { .host = message.host,
+        .zone = message.zone,
+        .storeId = message.storeId,
+        .incarnation = message.incarnation,
+        .sequence = message.sequence,
+        .appliedTableVersion = message.appliedTableVersion,
+        .leadsZone = message.leadsZone,
+        .zoneTerm = message.zoneTerm,
+        .zoneEpoch = message.zoneEpoch,
+        .zoneCutOffVersion = message.zoneCutOffVersion,
+        .isDraining = message.isDraining,
+        .free = message.free,
+        .heardAt = now };
+    return true;
+}
+
+const HostView* HostRegistry::find(const HostId& host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+bool HostRegistry::isSilent(const HostId& host, TimePoint now) const
+{
+    const HostView* view = find(host);
+    return !view || now - view->heardAt > m_settings.silentAfter;
+}
+
+const HostView* HostRegistry::zoneLeader(const ZoneId& zone, TimePoint now) const
+{
+    const HostView* leader = nullptr;
+    for (const auto& [host, view] : m_hosts) {
+        if (view.zone != zone || !view.leadsZone || now - view.heardAt > m_settings.silentAfter)
+            continue;
+        if (!leader || view.zoneTerm > leader->zoneTerm)
+            leader = &view;
+    }
+    return leader;
+}
+
+} // namespace hickoryknot
--- a/src/membership/HostRegistry.h
+++ b/src/membership/HostRegistry.h
@@ -19,6 +19,7 @@
     uint64_t appliedTableVersion { 0 };
     bool leadsZone { false };
     uint64_t zoneTerm { 0 };
+    uint64_t zoneEpoch { 0 };
     uint64_t zoneCutOffVersion { 0 };
     bool isDraining { false };
     /// Free capacity of the host's zone; meaningful while `leadsZone`.
--- a/src/protocol/PeerMessage.h
+++ b/src/protocol/PeerMessage.h
@@ -32,6 +32,8 @@
     Resources free;
     /// Server heartbeats received directly since the last message.
     std::vector<ServerHeartbeat> servers;
+    /// Epoch of the zone in the host's copy of the cell state; meaningful while `leadsZone`.
+    uint64_t zoneEpoch { 0 };
     /// Table version whose cut-off rules the zone has recorded for its jobs; meaningful while `leadsZone`.
     uint64_t zoneCutOffVersion { 0 };
     /// Slots that the host's requests use or wait for, over all rows.
--- a/src/scheduler/ZoneScheduler.h
+++ b/src/scheduler/ZoneScheduler.h
@@ -40,6 +40,9 @@
     void leadershipConfirmed(TimePoint roundStartedAt);
     /// The cell leader has renewed the zone's lease in answer to a message sent at `requestSentAt`.
     void zoneLeaseRenewed(TimePoint requestSentAt, Duration lease);
+    /// The cell leader has renewed the host's table lease. Without both leases work of cutOff=stop rows is not placed,
+    /// and running tasks of cell jobs with that rule end with their leases.
+    void tableLeaseRenewed(TimePoint requestSentAt, Duration lease);
 
     /// Takes a worker's report and answers at once. The host may hold the answer back for `WorkerHeartbeat::wait` if
     /// isHoldable() says so, and must then replace it by answer() at the end of the wait.
--- a/src/state/CellCommand.h
+++ b/src/state/CellCommand.h
@@ -40,7 +40,8 @@
     ZoneId zone {};
     uint64_t expectedGeneration { 0 };
     std::vector<HostId> members {};
-    /// The old group's state is lost and the zone starts empty: raises the zone's epoch.
+    /// The old group's state is lost and the zone starts empty: raises the zone's epoch. Jobs that it had end as
+    /// unknown if they are not repeatable; the others are queued again.
     bool startsEmpty { false };
     UnixMs atMs { 0 };
 };
@@ -70,15 +71,16 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
+        /// No worker of the zone can ever run it; once all zones say so the job ends as refused.
+        bool canNeverRun { false };
+        std::string reason {};
     };
     std::vector<Entry> entries {};
-    /// Static code for explain: zone_draining, no_capacity, ...
-    std::string reason {};
     UnixMs atMs { 0 };
 };
 
-/// The zone's lease with its drift has passed: jobs there with cutOff=stop are queued again; jobs that are not
-/// repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
+/// The zone's lease with its drift has passed: raises the zone's epoch; jobs there with cutOff=stop are queued again;
+/// jobs that are not repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
 struct ReleaseZone {
     ZoneId zone {};
     UnixMs atMs { 0 };
@@ -97,7 +99,7 @@
 
 /// Cancels many jobs with one record. Result: BatchDone.
 struct CancelCellJobs {
-    std::vector<uint32_t> jobs;
+    std::vector<uint32_t> jobs {};
     UnixMs atMs { 0 };
 };
 
--- a/src/state/CellJob.h
+++ b/src/state/CellJob.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/Ids.h"
 #include "core/Outcome.h"
@@ -34,6 +35,8 @@
     UnixMs sinceMs { 0 };
     /// Code of the last change: submitted, assigned, zone_lease_expired, or what the zone gave as reason.
     std::string reason {};
+    /// Zones that said they can never run it.
+    std::vector<ZoneId> refusedBy {};
     Outcome outcome {};
 };
 
--- a/src/state/CellState.h
+++ b/src/state/CellState.h
@@ -49,6 +49,8 @@
     const std::set<uint32_t>& jobsOfZone(const ZoneId&) const;
     const ChangeFeed& changes() const { return m_changes; }
 
+    /// Jobs with this number or a higher one are not known to this copy yet.
+    uint32_t nextJob() const { return m_data.nextJob; }
     /// Latest time that a command carried.
     UnixMs now() const { return m_data.nowMs; }
     /// NotFound: no such job, or past its retention.
--- a/src/state/CommandResult.h
+++ b/src/state/CommandResult.h
@@ -32,7 +32,7 @@
 
 /// For each entry of a batch, in order: 0 for skipped, else the epoch that the entry got or ended.
 struct BatchDone {
-    std::vector<uint64_t> epochs;
+    std::vector<uint64_t> epochs {};
 };
 
 /// What a state answers to the proposer of a command.
--- /dev/null
+++ b/src/state/FieldReader.cpp
@@ -0,0 +1,62 @@
+#include "state/FieldReader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hickoryknot {
+
+struct FieldReader::Impl {
+    nlohmann::json fields;
+    size_t at { 0 };
+};
+
+FieldReader::FieldReader(std::string_view bytes)
+    : m_impl(std::make_unique<Impl>())
+{
+    m_impl->fields = nlohmann::json::from_cbor(bytes, true, false);
+    m_isOk = m_impl->fields.is_array();
+}
+
+FieldReader::~FieldReader() = default;
+
+size_t FieldReader::remaining() const { return m_isOk ? m_impl->fields.size() - m_impl->at : 0; }
+
+uint64_t FieldReader::getUnsigned(uint64_t max)
+{
+    m_isOk = remaining() > 0 && m_impl->fields[m_impl->at].is_number_unsigned()
+        && m_impl->fields[m_impl->at].get<uint64_t>() <= max;
+    return m_isOk ? m_impl->fields[m_impl->at++].get<uint64_t>() : 0;
+}
+
+int64_t FieldReader::getSigned(int64_t min, int64_t max)
+{
+    // CBOR does not tell a positive signed number from an unsigned one.
+    m_isOk = remaining() > 0 && m_impl->fields[m_impl->at].is_number_integer();
+    if (!m_isOk)
+        return 0;
+    const auto& field = m_impl->fields[m_impl->at++];
+    m_isOk = !field.is_number_unsigned()
+        || field.get<uint64_t>() <= static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+    const int64_t value = m_isOk ? field.get<int64_t>() : 0;
+    m_isOk = m_isOk && value >= min && value <= max;
+    return m_isOk ? value : 0;
+}
+
+std::string FieldReader::getText()
+{
+    m_isOk = remaining() > 0 && m_impl->fields[m_impl->at].is_binary();
+    if (!m_isOk)
+        return {};
+    const auto& bytes = m_impl->fields[m_impl->at++].get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+Expected<void> FieldReader::finish() const
+{
+    if (!m_isOk)
+        return makeError(ErrorCode::Corrupt, "a field is missing, has the wrong type or is out of range");
+    if (remaining())
+        return makeError(ErrorCode::Corrupt, "more fields than expected");
+    return {};
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/state/FieldWriter.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/NamedId.h"
+#include "core/Resources.h"
+#include "core/Time.h"
+
+namespace hickoryknot {
+
+/// Writes fields one after the other as one CBOR array. Equal values give equal bytes. A structure is written by its
+/// overload of `visitFields`, which names its members once for writing and reading.
+class FieldWriter {
+public:
+    FieldWriter();
+    ~FieldWriter();
+
+    template <typename... Fields> void operator()(const Fields&... fields) { (put(fields), ...); }
+
+    /// The bytes; the writer is empty afterwards.
+    std::string finish();
+
+private:
+    void putUnsigned(uint64_t);
+    void putSigned(int64_t);
+    void putText(std::string_view);
+
+    void put(const std::string& value) { putText(value); }
+    void put(Duration value) { putSigned(value.count()); }
+    template <std::unsigned_integral T> void put(T value) { putUnsigned(value); }
+    template <std::signed_integral T> void put(T value) { putSigned(value); }
+    template <typename T>
+    requires std::is_enum_v<T>
+    void put(T value) { putUnsigned(static_cast<uint64_t>(value)); }
+    template <typename Tag> void put(const NamedId<Tag>& value) { putText(value.value()); }
+    template <typename Tag> void put(Quantity<Tag> value) { putSigned(value.count()); }
+    template <typename T> void put(const std::vector<T>& values)
+    {
+        putUnsigned(values.size());
+        for (const auto& value : values)
+            put(value);
+    }
+    template <typename T>
+    requires std::is_class_v<T>
+    void put(const T& value) { visitFields(*this, value); }
+
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace hickoryknot
--- a/src/state/HostRecord.h
+++ b/src/state/HostRecord.h
@@ -20,7 +20,8 @@
 /// A zone of the cell as recorded.
 struct ZoneRecord {
     ZoneId zone {};
-    /// Grows when the zone's group starts empty.
+    /// Grows when the cell takes jobs away from the zone, and when its group starts empty. A zone leader gets a zone
+    /// lease only once its copy of the cell state has the newest epoch, so that it cannot start a job that has moved.
     uint64_t epoch { 1 };
     /// Grows with each named set of voters.
     uint64_t generation { 0 };
--- /dev/null
+++ b/src/state/JobSpec.cpp
@@ -0,0 +1,44 @@
+#include "state/JobSpec.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace hickoryknot {
+
+JobSpec makeJobSpec(const JobSubmission& submission, bool rowIsRepeatable)
+{
+    return { .row = submission.row,
+        .team = submission.team,
+        .kind = submission.kind,
+        .tasks = submission.tasks,
+        .perTask = submission.perTask,
+        .expectedRun = submission.expectedRun,
+        .isRepeatable = submission.repeatable.value_or(rowIsRepeatable),
+        .command = submission.command };
+}
+
+Expected<void> checkJobSpec(const JobSpec& spec)
+{
+    if (spec.tasks < 1 || spec.tasks > maxTasksPerJob)
+        return makeError(
+            ErrorCode::InvalidArgument, fmt::format("tasks is {}; allowed are 1 to {}", spec.tasks, maxTasksPerJob));
+    const Resources& asked = spec.perTask;
+    if (asked.millicores.count() < 0 || asked.mebibytes.count() < 0 || asked.accelerators.count() < 0)
+        return makeError(ErrorCode::InvalidArgument, "processors, memory and accelerators must not be negative");
+    if (asked == Resources {})
+        return makeError(ErrorCode::InvalidArgument, "a task must ask for processors, memory or accelerators");
+    return {};
+}
+
+uint64_t contentHash(const JobSubmission& submission)
+{
+    const int repeatable = submission.repeatable ? *submission.repeatable : -1;
+    // The command comes last, because it may hold any separator.
+    const auto text = fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}|{}|{}", submission.row.value(), submission.team.value(),
+        static_cast<int>(submission.kind), submission.tasks, submission.perTask.millicores.count(),
+        submission.perTask.mebibytes.count(), submission.perTask.accelerators.count(), submission.expectedRun.count(),
+        repeatable, submission.homeZone.value_or(ZoneId()).value(), submission.command);
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace hickoryknot
--- a/src/state/RequestBook.h
+++ b/src/state/RequestBook.h
@@ -44,6 +44,9 @@
     Full, // No room for another record.
 };
 
+/// Why a request id may not start: the error for the caller. Not for New and Known.
+Error standingError(RequestStanding, const RequestId&);
+
 /// The request ids of one home with their first outcomes. Ids of the form `<caller>-<unix ms>-<n>` are safe for ever;
 /// ids of other forms are known for 10 minutes after their end only. Deterministic.
 class RequestBook {
@@ -51,9 +54,9 @@
     /// Bounds memory: 2,000 records a second would otherwise fill a node within the retention.
     static constexpr size_t maxRecords = 100000;
     /// Bounds memory: the answers of all records together, in bytes.
-    static constexpr size_t maxAnswerBytes = 8 * 1024 * 1024;
+    static constexpr size_t maxAnswerBytes = 8ULL * 1024 * 1024;
     /// Longer answers are not kept, in bytes.
-    static constexpr size_t maxAnswerLength = 16 * 1024;
+    static constexpr size_t maxAnswerLength = 16ULL * 1024;
     /// Callers' clocks may be this far ahead.
     static constexpr UnixMs maxAheadMs = retentionMs;
     /// A started request without outcome counts as unknown this long after its deadline.
--- a/src/state/ZoneCommand.h
+++ b/src/state/ZoneCommand.h
@@ -20,12 +20,12 @@
     RequestId request {};
     uint64_t contentHash { 0 };
     JobSpec spec {};
-    CutOffRule cutOff { CutOffRule::Stop };
     UnixMs atMs { 0 };
 };
 
 /// Takes over cell jobs that the cell assigned to this zone. Jobs already known at this epoch or a higher one are
-/// skipped, and jobs whose older epoch still runs here. Result: BatchDone.
+/// skipped, and jobs whose older epoch still runs here. Skipped as a whole if the rules come from a table older than
+/// the recorded cut-off version, because the cell already counts on the newer rules. Result: BatchDone.
 struct AdmitCellJobs {
     struct Entry {
         uint32_t job { 0 };
@@ -34,10 +34,13 @@
         JobSpec spec {};
     };
     std::vector<Entry> entries {};
+    /// Version of the table that gave the cut-off rules.
+    uint64_t tableVersion { 0 };
     UnixMs atMs { 0 };
 };
 
-/// Workers that joined, restarted or changed size. Older incarnations than recorded are skipped. Result: BatchDone.
+/// Workers that joined, restarted or changed size. Older incarnations than recorded are skipped. Tasks assigned to an
+/// earlier incarnation end as Lost. Result: BatchDone with incarnations.
 struct RecordWorkers {
     struct Entry {
         WorkerId worker {};
@@ -46,6 +49,7 @@
         Resources capacity {};
     };
     std::vector<Entry> entries {};
+    UnixMs atMs { 0 };
 };
 
 /// Workers silent for so long that nobody waits for them; those with tasks are skipped. Result: CommandDone.
@@ -89,19 +93,24 @@
 /// The cell has moved these cell jobs on: drop their queued tasks, stop the others, then forget them. Result:
 /// BatchDone.
 struct SupersedeJobs {
-    std::vector<uint32_t> jobs;
+    std::vector<uint32_t> jobs {};
     UnixMs atMs { 0 };
 };
 
-/// Stops trying to run these cell jobs so that they can be given back to the cell. A job that is not repeatable and may
-/// have run is skipped. Result: BatchDone.
+/// Stops trying to run these cell jobs so that they can be given back to the cell. Jobs with assigned tasks are
+/// skipped, and jobs that are not repeatable and may have run. Result: BatchDone.
 struct GiveBackJobs {
-    std::vector<uint32_t> jobs;
-    std::string reason {};
+    struct Entry {
+        uint32_t job { 0 };
+        /// No worker of the zone can ever run it.
+        bool canNeverRun { false };
+        std::string reason {};
+    };
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
-/// Ends jobs that can never run. Result: BatchDone.
+/// Ends jobs with this home zone that can never run; jobs of which a task has started are skipped. Result: BatchDone.
 struct RefuseJobs {
     struct Entry {
         JobNumber job {};
@@ -113,7 +122,7 @@
 
 /// Forgets ended, given back and superseded cell jobs that the cell has recorded too. Result: CommandDone.
 struct ForgetCellJobs {
-    std::vector<uint32_t> jobs;
+    std::vector<uint32_t> jobs {};
 };
 
 /// The cut-off rules that hold for the zone's jobs from now on, as of one table version. Result: CommandDone.
--- a/src/state/ZoneJob.h
+++ b/src/state/ZoneJob.h
@@ -16,7 +16,6 @@
 enum class ZoneJobPhase : uint8_t {
     Active,
     Cancelling, // Waits for its assigned tasks to stop, then ends as cancelled.
-    Unsure, // A task that is not repeatable may have run: waits for the others to stop, then ends as unknown.
     Superseded, // The cell moved it on: waits for its assigned tasks to stop, then is forgotten.
     GivenBack, // No task runs or will run here at this epoch; waits until the cell has recorded it.
     Ended, // The outcome is final.
@@ -34,12 +33,17 @@
     CutOffRule cutOff { CutOffRule::Stop };
     UnixMs submittedMs { 0 };
     UnixMs sinceMs { 0 };
+    /// Empty once the job has ended.
     std::vector<TaskRecord> tasks {};
     /// Counts over `tasks`.
     uint32_t queued { 0 };
     uint32_t assigned { 0 };
     uint32_t finished { 0 };
     uint32_t failed { 0 };
+    /// A task that is not repeatable may have run and its result is lost: the job ends as unknown.
+    bool isUnsure { false };
+    /// No worker of the zone can ever run it; goes with GivenBack.
+    bool canNeverRun { false };
     /// Code of the last change of `phase`.
     std::string reason {};
     Outcome outcome {};
--- a/src/state/ZoneState.h
+++ b/src/state/ZoneState.h
@@ -106,18 +106,21 @@
 
     void advanceTo(UnixMs atMs);
     ZoneJob* findMutable(JobNumber);
-    ZoneJob& addJob(ZoneJob);
+    bool hasRun(const ZoneJob&) const;
+    void addJob(ZoneJob);
     void eraseJob(JobNumber);
-    void setPhase(ZoneJob&, ZoneJobPhase, std::string reason, UnixMs atMs);
-    void leaveActive(ZoneJob&, ZoneJobPhase, const std::string& reason, UnixMs atMs);
-    void settle(ZoneJob&, UnixMs atMs);
-    void finish(ZoneJob&, Outcome, UnixMs atMs);
-    void setTaskPhase(ZoneJob&, TaskRecord&, TaskPhase, UnixMs atMs);
-    bool canPlace(const PlaceTasks::Entry&) const;
-    uint64_t place(const PlaceTasks::Entry&, UnixMs atMs);
-    void unplace(ZoneJob&, uint32_t task);
-    uint64_t endTask(const EndTasks::Entry&, UnixMs atMs);
-    TaskPhase phaseAfter(const ZoneJob&, TaskRecord&, const EndTasks::Entry&) const;
+    uint32_t addWorker(const WorkerId&);
+    void loseTasksOf(uint32_t worker);
+    void setPhase(ZoneJob&, ZoneJobPhase, std::string reason);
+    void setTaskPhase(ZoneJob&, TaskRecord&, TaskPhase);
+    void placeGroup(const PlaceTasks&, size_t first, size_t end, std::vector<uint64_t>& epochs);
+    bool canPlace(const ZoneJob&, const PlaceTasks::Entry&) const;
+    uint64_t place(ZoneJob&, const PlaceTasks::Entry&);
+    void unplace(ZoneJob&, uint32_t taskIndex, TaskPhase);
+    uint64_t endTask(const EndTasks::Entry&);
+    static TaskPhase phaseAfter(ZoneJob&, TaskRecord&, TaskResult);
+    void settle(ZoneJob&);
+    void finish(ZoneJob&, Outcome);
     void rebuildIndexes();
 
     ZoneId m_zone;
