--- a/src/state/CellCommand.h
+++ b/src/state/CellCommand.h
@@ -16,15 +16,15 @@
 
 /// Changes the table. Result: TableChangeResult.
 struct SetTable {
-    TableChange change;
+    TableChange change {};
     UnixMs atMs { 0 };
 };
 
 /// A host joined, restarted or came with another disk. Result: CommandDone, or Conflict if the incarnation is older
 /// than the recorded one.
 struct RecordHost {
-    HostId host;
-    ZoneId zone;
+    HostId host {};
+    ZoneId zone {};
     uint64_t storeId { 0 };
     uint64_t incarnation { 0 };
     UnixMs atMs { 0 };
@@ -32,24 +32,25 @@
 
 /// Hosts silent for so long that nobody waits for them. Result: CommandDone.
 struct ForgetHosts {
-    std::vector<HostId> hosts;
+    std::vector<HostId> hosts {};
 };
 
 /// Names the voters of a zone's group, by compare-and-set on the generation. Result: CommandDone or Conflict.
 struct SetZoneGroup {
-    ZoneId zone;
+    ZoneId zone {};
     uint64_t expectedGeneration { 0 };
-    std::vector<HostId> members;
-    /// The old group's state is lost and the zone starts empty: raises the zone's epoch.
+    std::vector<HostId> members {};
+    /// The old group's state is lost and the zone starts empty: raises the zone's epoch. Jobs that it had end as
+    /// unknown if they are not repeatable; the others are queued again.
     bool startsEmpty { false };
     UnixMs atMs { 0 };
 };
 
 /// Records a job without a home zone. Result: JobAccepted, RequestKnown or an error.
 struct SubmitCellJob {
-    RequestId request;
+    RequestId request {};
     uint64_t contentHash { 0 };
-    JobSpec spec;
+    JobSpec spec {};
     UnixMs atMs { 0 };
 };
 
@@ -59,9 +60,9 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
-        ZoneId zone;
+        ZoneId zone {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
@@ -70,17 +71,18 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
+        /// No worker of the zone can ever run it; once all zones say so the job ends as refused.
+        bool canNeverRun { false };
+        std::string reason {};
     };
-    std::vector<Entry> entries;
-    /// Static code for explain: zone_draining, no_capacity, ...
-    std::string reason;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
-/// The zone's lease with its drift has passed: jobs there with cutOff=stop are queued again; jobs that are not
-/// repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
+/// The zone's lease with its drift has passed: raises the zone's epoch; jobs there with cutOff=stop are queued again;
+/// jobs that are not repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
 struct ReleaseZone {
-    ZoneId zone;
+    ZoneId zone {};
     UnixMs atMs { 0 };
 };
 
@@ -89,22 +91,22 @@
     struct Entry {
         uint32_t job { 0 };
         uint64_t epoch { 0 };
-        Outcome outcome;
+        Outcome outcome {};
     };
-    std::vector<Entry> entries;
+    std::vector<Entry> entries {};
     UnixMs atMs { 0 };
 };
 
 /// Cancels many jobs with one record. Result: BatchDone.
 struct CancelCellJobs {
-    std::vector<uint32_t> jobs;
+    std::vector<uint32_t> jobs {};
     UnixMs atMs { 0 };
 };
 
 /// The zone has recorded the cut-off rules of this table version for all its jobs, so that jobs may be released by the
 /// stricter rule. Result: CommandDone.
 struct ConfirmCutOff {
-    ZoneId zone;
+    ZoneId zone {};
     uint64_t tableVersion { 0 };
 };
 
