Move server heartbeats and slots out of the peer message

Cause: two types named SlotGrant; slots belong to the network thread, leases to the control thread. Change: POST /internal/zone carries both; the peer message keeps what the control thread needs. Ruled out: one message handled by two threads, each waiting for the other half of the answer.

--- a/src/app/JobService.cpp
+++ b/src/app/JobService.cpp
@@ -101,7 +101,7 @@
     const uint64_t hash = contentHash(submission);
     const UnixMs atMs = toUnixMs(wall);
     std::string payload = submission.homeZone
-        ? encodeZoneCommand(SubmitZoneJob { submission.request, hash, std::move(spec), row->cutOff, atMs })
+        ? encodeZoneCommand(SubmitZoneJob { submission.request, hash, std::move(spec), atMs })
         : encodeCellCommand(SubmitCellJob { submission.request, hash, std::move(spec), atMs });
     const uint32_t attempt = submission.attempt;
     m_context.proposer->propose(m_context.homeTarget(submission.homeZone), std::move(payload),
--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -10,6 +10,7 @@
 #include "app/SteadyTime.h"
 #include "core/Hash.h"
 #include "protocol/OutcomeCodec.h"
+#include "protocol/ProtocolLimits.h"
 #include "protocol/RequestSubmissionCodec.h"
 #include "protocol/WorkRequest.h"
 #include "protocol/WorkRequestCodec.h"
--- a/src/protocol/PeerMessage.h
+++ b/src/protocol/PeerMessage.h
@@ -2,11 +2,9 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "core/Ids.h"
 #include "core/Resources.h"
-#include "protocol/ServerHeartbeat.h"
 
 namespace hickoryknot {
 
@@ -24,20 +22,16 @@
     /// True while the host leads its zone's group in `zoneTerm`.
     bool leadsZone { false };
     uint64_t zoneTerm { 0 };
+    /// Table version whose cut-off rules the zone has recorded for its jobs; meaningful while `leadsZone`.
+    uint64_t zoneCutOffVersion { 0 };
     bool isDraining { false };
     /// Numeric IP address and port at which the host serves.
     std::string address;
     uint16_t port { 0 };
     /// Free capacity of the zone; meaningful while `leadsZone`.
     Resources free;
-    /// Server heartbeats received directly since the last message.
-    std::vector<ServerHeartbeat> servers;
     /// Epoch of the zone in the host's copy of the cell state; meaningful while `leadsZone`.
     uint64_t zoneEpoch { 0 };
-    /// Table version whose cut-off rules the zone has recorded for its jobs; meaningful while `leadsZone`.
-    uint64_t zoneCutOffVersion { 0 };
-    /// Slots that the host's requests use or wait for, over all rows.
-    uint32_t slotDemand { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/protocol/PeerMessageCodec.cpp
+++ b/src/protocol/PeerMessageCodec.cpp
@@ -5,36 +5,21 @@
 #include "protocol/DecodeMessage.h"
 #include "protocol/JsonDocument.h"
 #include "protocol/ObjectReader.h"
-#include "protocol/ServerHeartbeatFields.h"
 
 namespace hickoryknot {
 
 using nlohmann::json;
 using namespace protocol_limits;
 
-namespace {
-
-std::vector<ServerHeartbeat> readServers(ObjectReader& reader)
-{
-    std::vector<ServerHeartbeat> servers;
-    reader.eachObject("servers", [&](ObjectReader& server) { servers.push_back(readServerHeartbeat(server)); });
-    return servers;
-}
-
-} // namespace
-
 std::string encodePeerMessage(const PeerMessage& message)
 {
-    json servers = json::array();
-    for (const auto& server : message.servers)
-        servers.push_back(serverHeartbeatToJson(server));
     return writeDocument({ { "host", message.host.value() }, { "storeId", message.storeId },
         { "incarnation", message.incarnation }, { "zone", message.zone.value() }, { "sequence", message.sequence },
         { "appliedTableVersion", message.appliedTableVersion }, { "leadsZone", message.leadsZone },
-        { "zoneTerm", message.zoneTerm }, { "draining", message.isDraining }, { "address", message.address },
-        { "port", message.port }, { "freeMillicores", message.free.millicores.count() },
-        { "freeMebibytes", message.free.mebibytes.count() }, { "freeAccelerators", message.free.accelerators.count() },
-        { "servers", std::move(servers) }, { "slotDemand", message.slotDemand } });
+        { "zoneTerm", message.zoneTerm }, { "zoneCutOffVersion", message.zoneCutOffVersion },
+        { "draining", message.isDraining }, { "address", message.address }, { "port", message.port },
+        { "freeMillicores", message.free.millicores.count() }, { "freeMebibytes", message.free.mebibytes.count() },
+        { "freeAccelerators", message.free.accelerators.count() } });
 }
 
 Expected<PeerMessage> decodePeerMessage(std::string_view text)
@@ -48,12 +33,11 @@
             .appliedTableVersion = reader.whole("appliedTableVersion", 0, maxCounter),
             .leadsZone = reader.flag("leadsZone"),
             .zoneTerm = reader.whole("zoneTerm", 0, maxCounter),
+            .zoneCutOffVersion = reader.whole("zoneCutOffVersion", 0, maxCounter),
             .isDraining = reader.flag("draining"),
             .address = reader.numericAddress("address"),
             .port = static_cast<uint16_t>(reader.whole("port", 1, UINT16_MAX)),
-            .free = reader.resources("freeMillicores", "freeMebibytes", "freeAccelerators", maxWorkersPerSum),
-            .servers = readServers(reader),
-            .slotDemand = static_cast<uint32_t>(reader.whole("slotDemand", 0, UINT32_MAX)) };
+            .free = reader.resources("freeMillicores", "freeMebibytes", "freeAccelerators", maxWorkersPerSum) };
     });
 }
 
--- a/src/protocol/WorkerHeartbeat.h
+++ b/src/protocol/WorkerHeartbeat.h
@@ -35,14 +35,14 @@
     Resources capacity;
     /// Term of the last answer that the worker received.
     uint64_t term { 0 };
+    /// `sequence` of the last answer that the worker received in `term`; 0 if none. Proves that this heartbeat was sent
+    /// after that answer was given.
+    uint64_t lastSequence { 0 };
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
     bool isLeaving { false };
     /// How long the answer may be held back while there is nothing to say.
     Duration wait { 0 };
-    /// `sequence` of the last answer that the worker received in `term`; 0 if none. Proves that this heartbeat was sent
-    /// after that answer was given.
-    uint64_t lastSequence { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/protocol/WorkerHeartbeatCodec.cpp
+++ b/src/protocol/WorkerHeartbeatCodec.cpp
@@ -71,6 +71,7 @@
             .rack = reader.id<RackId>("rack"),
             .capacity = reader.resources("millicores", "mebibytes", "accelerators"),
             .term = reader.whole("term", 0, maxCounter),
+            .lastSequence = reader.whole("lastSequence", 0, maxCounter),
             .running = readRunning(reader),
             .ended = readEnded(reader),
             .isLeaving = reader.flag("leaving"),
--- a/src/protocol/WorkerInstructions.h
+++ b/src/protocol/WorkerInstructions.h
@@ -38,13 +38,13 @@
 /// The zone leader's answer to a worker's heartbeat.
 struct WorkerInstructions {
     uint64_t term { 0 };
+    /// Grows with each answer of one leader to one worker; the worker returns it as `lastSequence`.
+    uint64_t sequence { 0 };
     std::vector<StartTask> start;
     std::vector<StopTask> stop;
     std::vector<RenewLease> renew;
     /// Ended tasks that are recorded and need not be reported again.
     std::vector<TaskId> acknowledged;
-    /// Grows with each answer of one leader to one worker; the worker returns it as `lastSequence`.
-    uint64_t sequence { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/protocol/WorkerInstructionsCodec.cpp
+++ b/src/protocol/WorkerInstructionsCodec.cpp
@@ -71,14 +71,15 @@
     json acknowledged = json::array();
     for (const auto& task : message.acknowledged)
         acknowledged.push_back(task.value());
-    return writeDocument({ { "term", message.term }, { "start", std::move(start) }, { "stop", std::move(stop) },
-        { "renew", std::move(renew) }, { "ack", std::move(acknowledged) } });
+    return writeDocument({ { "term", message.term }, { "sequence", message.sequence }, { "start", std::move(start) },
+        { "stop", std::move(stop) }, { "renew", std::move(renew) }, { "ack", std::move(acknowledged) } });
 }
 
 Expected<WorkerInstructions> decodeWorkerInstructions(std::string_view text)
 {
     return decodeMessage<WorkerInstructions>(text, maxInternalMessageBytes, [](ObjectReader& reader) {
         return WorkerInstructions { .term = reader.whole("term", 0, maxCounter),
+            .sequence = reader.whole("sequence", 0, maxCounter),
             .start = readStart(reader),
             .stop = readStop(reader),
             .renew = readRenew(reader),
--- a/src/routing/ZoneExchangeCodec.cpp
+++ b/src/routing/ZoneExchangeCodec.cpp
@@ -1,6 +1,10 @@
 #include "routing/ZoneExchangeCodec.h"
 
+#include <nlohmann/json.hpp>
+
 #include "protocol/DecodeMessage.h"
+#include "protocol/JsonDocument.h"
+#include "protocol/ObjectReader.h"
 #include "protocol/ServerHeartbeatFields.h"
 #include "routing/ZoneExchange.h"
 
