Add the record store and the replicated log

Cause: the cell and zone state must survive restarts and host loss. Ruled out: detection of an older disk by the incarnation alone, since a copy taken within one run opens with the next unused incarnation; the term and index that others saw are compared as well.

--- a/src/consensus/LogGroup.h
+++ b/src/consensus/LogGroup.h
@@ -128,6 +128,7 @@
     };
 
     LogGroup(const LogGroupSettings&, std::unique_ptr<RecordStore>, StateMachine&, ReplicatedLog);
+    bool isStoreSound() const { return m_store && !m_storageFailure; }
     void advance(TimePoint now);
     void persistInMemory(TimePoint now);
     void installSnapshot(const Snapshot&);
--- a/src/consensus/PeerProgress.h
+++ b/src/consensus/PeerProgress.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "core/Time.h"
 #include "log/LogEntry.h"
+#include "log/Snapshot.h"
 #include "log/StoreIdentity.h"
 
 namespace hickoryknot {
@@ -25,7 +27,7 @@
     bool mustSend { true }; // A heartbeat or a first message is due.
     bool isWaiting { false }; // Probe or chunk under way.
     uint64_t appendsInFlight { 0 };
-    LogIndex snapshotIndex { 0 };
+    std::optional<Snapshot> snapshot; // Being sent.
     uint64_t snapshotOffset { 0 };
     uint64_t answeredRound { 0 }; // The latest round that was answered.
     TimePoint answeredSendTime; // When the message of that round was sent.
--- /dev/null
+++ b/src/consensus/ReplicatedLog.cpp
@@ -0,0 +1,254 @@
+#include "consensus/ReplicatedLog.h"
+
+#include <xxhash.h>
+
+#include "core/Assert.h"
+
+namespace hickoryknot {
+
+namespace {
+
+uint64_t hashOf(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
+
+// Requests of an older term are answered, so that their sender learns of the newer term.
+bool isRequest(const LogMessageBody& body)
+{
+    return std::holds_alternative<VoteRequest>(body) || std::holds_alternative<AppendRequest>(body)
+        || std::holds_alternative<SnapshotChunk>(body);
+}
+
+bool comesFromLeader(const LogMessageBody& body)
+{
+    return std::holds_alternative<AppendRequest>(body) || std::holds_alternative<SnapshotChunk>(body);
+}
+
+bool isPreVote(const LogMessageBody& body)
+{
+    const auto* request = std::get_if<VoteRequest>(&body);
+    const auto* response = std::get_if<VoteResponse>(&body);
+    return (request && request->isPreVote) || (response && response->isPreVote);
+}
+
+bool concernsIdentity(const LogMessageBody& body)
+{
+    return std::holds_alternative<IdentityCheck>(body) || std::holds_alternative<IdentityVerdict>(body);
+}
+
+} // namespace
+
+ReplicatedLog::ReplicatedLog(ReplicatedLogSettings settings, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed ^ hashOf(m_settings.self.value()), hashOf(m_settings.group))
+    , m_now(now)
+    , m_lastLeaderContact(now - std::chrono::hours(1))
+    , m_voteRefusalEnd(now)
+{
+    RecoveredLog& recovered = m_settings.recovered;
+    m_term = recovered.hardState.term;
+    m_votedFor = recovered.hardState.votedFor;
+    m_evidence = EvidenceTable(std::move(recovered.hardState.evidence));
+    if (recovered.snapshot) {
+        m_log.restartAt(*recovered.snapshot);
+        m_commitIndex = m_takenCommit = recovered.snapshot->index;
+    }
+    for (auto& entry : recovered.entries)
+        m_log.append(std::move(entry));
+    m_unwrittenFrom = m_log.lastIndex() + 1;
+    m_persistedIndex = m_log.lastIndex();
+    rebuildMembership();
+    resetElectionTimeout(now);
+    const bool isRestarted = !recovered.wasEmpty && m_settings.identity.store != StoreId::None;
+    recovered = {};
+    if (!isRestarted)
+        return;
+    // What this run knows of its past is only what the disk holds; the others may know more.
+    m_identityState = IdentityState::Unconfirmed;
+    m_identityCheck = { .storedTerm = m_term, .storedIndex = m_log.lastIndex() };
+    m_restartTerm = m_term;
+    m_voteRefusalEnd = now + m_settings.timings.electionMin;
+    m_identityGraceEnd = now + m_settings.timings.identityWait;
+    m_identityResendDue = now;
+    evaluateIdentity(now);
+}
+
+void ReplicatedLog::step(const LogMessage& message, TimePoint now)
+{
+    m_now = now;
+    if (message.group != m_settings.group || message.to != m_settings.self || message.from == m_settings.self)
+        return;
+    if (concernsIdentity(message.body)) {
+        if (const auto* check = std::get_if<IdentityCheck>(&message.body))
+            handle(*check, message, now);
+        else
+            handle(std::get<IdentityVerdict>(message.body), message, now);
+        return;
+    }
+    if (m_evidence.isSuperseded(message.from, message.identity))
+        return;
+    const auto* vote = std::get_if<VoteRequest>(&message.body);
+    // Without this a host that was cut off could depose a working leader with a higher term.
+    if (vote && !vote->isPreVote && !vote->isTransfer && message.term > m_term && isLeaderAlive(now))
+        return;
+    // Pre-votes change no terms: the sender may only have been cut off.
+    if (isPreVote(message.body)) {
+        std::visit([&](const auto& body) { handle(body, message, now); }, message.body);
+        return;
+    }
+    if (message.term > m_term)
+        becomeFollower(message.term, comesFromLeader(message.body) ? message.from : HostId(), now);
+    else if (message.term < m_term && !isRequest(message.body))
+        return;
+    std::visit([&](const auto& body) { handle(body, message, now); }, message.body);
+}
+
+void ReplicatedLog::tick(TimePoint now)
+{
+    m_now = now;
+    if (m_identityState == IdentityState::Unconfirmed) {
+        if (now >= m_identityResendDue)
+            sendIdentityChecks(now);
+        evaluateIdentity(now);
+    }
+    if (m_role != Role::Leader) {
+        if (now >= m_electionDue && mayVote())
+            startPreVote(now);
+        return;
+    }
+    checkQuorum(now);
+    if (m_role != Role::Leader || now < m_heartbeatDue)
+        return;
+    m_heartbeatDue = now + m_settings.timings.heartbeat;
+    startRound(now);
+    stepDownIfRemoved(now);
+    replaceChangedStore(now);
+    bindStores(now);
+    promoteCaughtUp(now);
+    continueTransfer(now);
+}
+
+void ReplicatedLog::send(const HostId& to, LogMessageBody body, uint64_t afterSequence)
+{
+    LogMessage message { .group = m_settings.group,
+        .from = m_settings.self,
+        .identity = m_settings.identity,
+        .to = to,
+        .term = m_term,
+        .body = std::move(body) };
+    m_outbox.push_back({ afterSequence, OutgoingMessage { to, std::move(message) } });
+}
+
+void ReplicatedLog::setTerm(Term term, const HostId& votedFor)
+{
+    HICKORYKNOT_ASSERT(term >= m_term, "a term never falls");
+    if (term == m_term && votedFor == m_votedFor)
+        return;
+    m_term = term;
+    m_votedFor = votedFor;
+    m_isHardStateChanged = true;
+    m_hardStateSequence = m_takenSequence + 1;
+}
+
+bool ReplicatedLog::hasUnwritten() const
+{
+    return m_isHardStateChanged || m_isSnapshotUnwritten || m_isRenewalWanted || m_unwrittenFrom <= m_log.lastIndex();
+}
+
+std::optional<WriteBatch> ReplicatedLog::takeWrite()
+{
+    if (!hasUnwritten() && !(m_isEvidenceChanged && m_now >= m_evidenceWriteDue))
+        return std::nullopt;
+    WriteBatch batch;
+    batch.sequence = ++m_takenSequence;
+    if (m_isHardStateChanged || m_isEvidenceChanged)
+        batch.hardState = HardState { .term = m_term, .votedFor = m_votedFor, .evidence = m_evidence.entries() };
+    if (m_isSnapshotUnwritten) {
+        batch.snapshot = m_log.snapshot();
+        batch.isLogRestarted = m_isLogRestarted;
+    }
+    for (LogIndex index = m_unwrittenFrom; index <= m_log.lastIndex(); ++index)
+        batch.entries.push_back(m_log.at(index));
+    batch.isIdentityRenewed = m_isRenewalWanted;
+    m_isHardStateChanged = m_isEvidenceChanged = m_isSnapshotUnwritten = m_isLogRestarted = m_isRenewalWanted = false;
+    m_unwrittenFrom = m_log.lastIndex() + 1;
+    m_writesInFlight.emplace_back(batch.sequence, m_log.lastIndex());
+    return batch;
+}
+
+void ReplicatedLog::persisted(uint64_t sequence, TimePoint now)
+{
+    m_now = now;
+    while (!m_writesInFlight.empty() && m_writesInFlight.front().first <= sequence) {
+        m_persistedIndex = m_writesInFlight.front().second;
+        m_writesInFlight.pop_front();
+    }
+    m_persistedSequence = std::max(m_persistedSequence, sequence);
+    countOwnVote(now);
+    advanceCommit(now);
+}
+
+void ReplicatedLog::storageFailed(TimePoint now)
+{
+    // Without a store id, nothing this host says from now on counts as the voter it was.
+    m_settings.identity.store = StoreId::None;
+    std::erase_if(m_outbox, [&](const PendingMessage& pending) { return pending.sequence > m_persistedSequence; });
+    m_identityState = IdentityState::Confirmed;
+    m_isRenewalWanted = false;
+    becomeFollower(m_term, m_role == Role::Leader ? HostId() : m_leader, now);
+}
+
+std::vector<OutgoingMessage> ReplicatedLog::takeMessages()
+{
+    sendPending();
+    std::vector<OutgoingMessage> messages;
+    std::vector<PendingMessage> kept;
+    for (auto& pending : m_outbox) {
+        if (pending.sequence <= m_persistedSequence)
+            messages.push_back(std::move(pending.message));
+        else
+            kept.push_back(std::move(pending));
+    }
+    m_outbox = std::move(kept);
+    return messages;
+}
+
+std::vector<LogEntry> ReplicatedLog::takeCommitted()
+{
+    std::vector<LogEntry> entries;
+    while (m_takenCommit < m_commitIndex)
+        entries.push_back(m_log.at(++m_takenCommit));
+    return entries;
+}
+
+std::optional<Snapshot> ReplicatedLog::takeInstalledSnapshot() { return std::exchange(m_installed, std::nullopt); }
+
+bool ReplicatedLog::snapshotTaken(LogIndex index, std::shared_ptr<const std::string> data)
+{
+    HICKORYKNOT_ASSERT(index <= m_takenCommit && index >= m_log.baseIndex(), "a snapshot covers applied entries");
+    if (m_isLogRestarted)
+        return false;
+    while (m_membershipHistory.size() > 1 && m_membershipHistory[1].index <= index)
+        m_membershipHistory.erase(m_membershipHistory.begin());
+    m_log.setSnapshot({ .index = index,
+        .term = *m_log.termAt(index),
+        .members = encodeMembership(m_membershipHistory.front().membership),
+        .data = std::move(data) });
+    m_isSnapshotUnwritten = true;
+    // Entries that are not durable yet must stay in memory for the write.
+    const LogIndex kept = std::min(m_settings.keptEntries, index);
+    m_log.compactTo(std::min({ index - kept, m_persistedIndex, m_unwrittenFrom - 1 }));
+    return true;
+}
+
+std::optional<HostId> ReplicatedLog::leader() const
+{
+    return m_leader.isEmpty() ? std::nullopt : std::optional(m_leader);
+}
+
+tl::unexpected<Error> ReplicatedLog::notLeader() const
+{
+    if (!m_transferTarget.isEmpty())
+        return makeError(ErrorCode::NotLeader, m_transferTarget.value());
+    return makeError(ErrorCode::NotLeader, m_leader.value());
+}
+
+} // namespace hickoryknot
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <pcg_random.hpp>
@@ -41,6 +43,7 @@
     /// readIndex() as of this call is applied. NotLeader: as above; Unavailable: nothing of this term is committed yet.
     Expected<uint64_t> startReadRound(TimePoint now);
     uint64_t confirmedRound() const;
+    /// The commit index.
     LogIndex readIndex() const { return m_commitIndex; }
 
     /// Appends a changed member list and returns its index. Errors: NotLeader; Conflict: another change is not
@@ -81,7 +84,8 @@
     std::optional<Snapshot> takeInstalledSnapshot();
 
     /// Records a snapshot of the state after `index`, an index taken from takeCommitted(), and drops older entries.
-    void snapshotTaken(LogIndex index, std::shared_ptr<const std::string> data);
+    /// Returns false, and changes nothing, while a snapshot from the leader is not yet durable.
+    bool snapshotTaken(LogIndex index, std::shared_ptr<const std::string> data);
 
     Role role() const { return m_role; }
     bool isLeader() const { return m_role == Role::Leader; }
@@ -95,7 +99,8 @@
     const Membership& membership() const { return m_membership; }
 
     /// When a message of the leader last came in, or for a leader when a quorum last answered.
-    TimePoint lastLeaderContact() const { return m_lastLeaderContact; }
+    /// One hour before the start if there was none.
+    TimePoint lastLeaderContact() const;
 
     /// True if this host leads and no other host can have been elected: a quorum answered messages that were sent less
     /// than electionMin - leaseMargin ago, and an entry of this term is committed.
@@ -130,13 +135,11 @@
     };
 
     // Startup and identities (ReplicatedLogIdentity.cpp).
-    void startIdentityCheck(TimePoint now);
     void sendIdentityChecks(TimePoint now);
     void evaluateIdentity(TimePoint now);
     void handle(const IdentityCheck&, const LogMessage&, TimePoint now);
     void handle(const IdentityVerdict&, const LogMessage&, TimePoint now);
     void noteEvidence(const HostId&, const StoreIdentity&, Term, LogIndex);
-    bool isFromSupersededRun(const LogMessage&) const;
 
     // Elections (ReplicatedLogElection.cpp).
     void handle(const VoteRequest&, const LogMessage&, TimePoint now);
@@ -144,11 +147,13 @@
     void handle(const TimeoutNow&, const LogMessage&, TimePoint now);
     void startPreVote(TimePoint now);
     void startElection(bool isTransfer, TimePoint now);
-    void broadcastVoteRequest(const VoteRequest&);
-    void countVotes(TimePoint now);
-    bool wouldGrant(const VoteRequest&, const HostId& candidate, StoreId, TimePoint now) const;
+    void requestVotes(bool isPreVote, bool isTransfer, uint64_t afterSequence);
+    bool hasVoteQuorum() const;
+    void countOwnVote(TimePoint now);
+    bool isAcceptableCandidate(const VoteRequest&, const LogMessage&) const;
     void becomeFollower(Term, const HostId& leader, TimePoint now);
     void becomeLeader(TimePoint now);
+    Duration randomUpTo(Duration limit);
     void resetElectionTimeout(TimePoint now);
     void checkQuorum(TimePoint now);
     bool isLeaderAlive(TimePoint now) const;
@@ -160,18 +165,19 @@
     void handle(const SnapshotResponse&, const LogMessage&, TimePoint now);
     bool acceptLeader(const LogMessage&, TimePoint now);
     void rejectAppend(const AppendRequest&, const LogMessage&);
-    LogIndex storeEntries(const AppendRequest&);
-    void advanceFollowerCommit(LogIndex);
-    void installSnapshot(const SnapshotChunk&, const LogMessage&);
+    void acknowledge(const HostId& leader, LogIndex match, uint64_t round);
+    void storeEntries(const AppendRequest&);
+    void dropFrom(LogIndex);
+    void installSnapshot(const SnapshotChunk&);
+    void handleRejection(PeerProgress&, const AppendResponse&);
     LogIndex appendOwn(EntryKind, std::string payload);
     void advanceCommit(TimePoint now);
-    void noteAnswer(PeerProgress&, const LogMessage&, uint64_t round);
+    PeerProgress* noteAnswer(const LogMessage&, uint64_t round);
     void startRound(TimePoint now);
     void sendPending();
     void sendTo(const HostId&, PeerProgress&);
     void sendEntries(const HostId&, PeerProgress&);
     void sendChunk(const HostId&, PeerProgress&);
-    LogIndex persistedIndex() const { return m_persistedIndex; }
 
     // Members (ReplicatedLogMembers.cpp).
     Expected<void> checkChangeAllowed() const;
@@ -179,16 +185,20 @@
     void membershipChanged();
     void replaceChangedStore(TimePoint now);
     void promoteCaughtUp(TimePoint now);
-    bool bindStores(Membership&) const;
-    void finishRemovalOfSelf(TimePoint now);
+    void bindStores(TimePoint now);
+    void stepDownIfRemoved(TimePoint now);
+    bool isCaughtUp(const PeerProgress&) const;
     void continueTransfer(TimePoint now);
-    void abandonTransfer();
 
     // Common.
-    void send(const HostId&, LogMessageBody, bool isPromise);
     void setTerm(Term, const HostId& votedFor);
-    void markWriteNeeded();
-    template <typename Predicate> size_t countVoters(Predicate) const;
+    uint64_t nextWriteSequence() const { return m_takenSequence + (hasUnwritten() ? 1 : 0); }
+    bool hasUnwritten() const;
+    void send(const HostId&, LogMessageBody, uint64_t afterSequence);
+    bool maySendPromises() const;
+    TimePoint quorumSendTime(TimePoint now) const;
+    // The highest value that a majority of the voters has reached; own is this host's.
+    template <typename Value, typename ValueOf> Value quorumValue(Value own, Value missing, ValueOf) const;
     tl::unexpected<Error> notLeader() const;
     void rebuildMembership();
     bool isCommittedInOwnTerm() const { return m_log.termAt(m_commitIndex) == m_term; }
@@ -205,11 +215,11 @@
 
     // Progress of the writes.
     bool m_isHardStateChanged { false };
+    uint64_t m_hardStateSequence { 0 }; // The write that makes the present term and vote durable.
     LogIndex m_unwrittenFrom { 1 }; // First entry not yet handed to a write.
     bool m_isSnapshotUnwritten { false };
     bool m_isLogRestarted { false };
     bool m_isRenewalWanted { false };
-    bool m_hasStorageFailed { false };
     uint64_t m_takenSequence { 0 };
     uint64_t m_persistedSequence { 0 };
     LogIndex m_persistedIndex { 0 };
@@ -217,7 +227,7 @@
     TimePoint m_evidenceWriteDue;
     bool m_isEvidenceChanged { false };
 
-    // Position.
+    // Position and role.
     Role m_role { Role::Follower };
     HostId m_leader;
     LogIndex m_commitIndex { 0 };
@@ -227,8 +237,8 @@
     std::vector<MembershipAt> m_membershipHistory; // In the snapshot and in entries; ascending.
     std::optional<Membership> m_forcedMembership; // From replaceMembers() until the leader's list arrives.
     TimePoint m_now;
-    TimePoint m_startTime;
     TimePoint m_lastLeaderContact;
+    TimePoint m_voteRefusalEnd; // A restarted voter may have promised a leader its patience.
     TimePoint m_electionDue;
 
     // Right to vote after a restart.
@@ -241,18 +251,39 @@
 
     // Candidate and leader.
     std::set<HostId> m_votes;
+    uint64_t m_ownVoteSequence { 0 }; // The write that makes the vote for itself durable.
     std::map<HostId, PeerProgress> m_peers;
-    std::set<std::pair<HostId, StoreId>> m_retiredStores;
     uint64_t m_round { 0 };
     std::deque<std::pair<uint64_t, TimePoint>> m_roundTimes;
     bool m_isRoundWanted { false };
     TimePoint m_heartbeatDue;
     TimePoint m_leaderSince;
     HostId m_transferTarget;
+    bool m_hasOfferedTransfer { false }; // In this term: an election may start despite the lease.
     TimePoint m_transferEnd;
 
     std::optional<IncomingSnapshot> m_incoming;
     std::vector<PendingMessage> m_outbox;
 };
 
+template <typename Value, typename ValueOf>
+Value ReplicatedLog::quorumValue(Value own, Value missing, ValueOf valueOf) const
+{
+    std::vector<Value> values;
+    for (const auto& member : m_membership.members()) {
+        if (!member.isVoter)
+            continue;
+        const auto peer = m_peers.find(member.host);
+        if (member.host == m_settings.self)
+            values.push_back(m_membership.isVoter(member.host, m_settings.identity.store) ? own : missing);
+        else if (peer != m_peers.end() && peer->second.isVoting
+            && m_membership.isVoter(member.host, peer->second.identity.store))
+            values.push_back(valueOf(peer->second));
+    }
+    if (values.size() < m_membership.quorum())
+        return missing;
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[m_membership.quorum() - 1];
+}
+
 } // namespace hickoryknot
--- /dev/null
+++ b/src/consensus/ReplicatedLogIdentity.cpp
@@ -0,0 +1,85 @@
+#include "consensus/ReplicatedLog.h"
+
+namespace hickoryknot {
+
+bool ReplicatedLog::maySendPromises() const
+{
+    return m_settings.identity.store != StoreId::None && m_identityState == IdentityState::Confirmed;
+}
+
+bool ReplicatedLog::mayVote() const
+{
+    return maySendPromises() && m_membership.isVoter(m_settings.self, m_settings.identity.store);
+}
+
+void ReplicatedLog::sendIdentityChecks(TimePoint now)
+{
+    m_identityResendDue = now + m_settings.timings.heartbeat;
+    for (const auto& member : m_membership.members()) {
+        if (member.host != m_settings.self && !m_identityAnswers.contains(member.host))
+            send(member.host, m_identityCheck, 0);
+    }
+}
+
+void ReplicatedLog::evaluateIdentity(TimePoint now)
+{
+    if (m_identityState != IdentityState::Unconfirmed)
+        return;
+    size_t silent = 0;
+    size_t answeredVoters = 0;
+    for (const auto& member : m_membership.members()) {
+        const bool hasAnswered = m_identityAnswers.contains(member.host);
+        silent += member.host != m_settings.self && !hasAnswered ? 1 : 0;
+        answeredVoters += member.isVoter && hasAnswered ? 1 : 0;
+    }
+    // With this host they make a majority, which overlaps with every majority that relied on this host.
+    const bool hasQuorum = answeredVoters + 1 >= m_membership.quorum();
+    if (hasQuorum && (!silent || now >= m_identityGraceEnd))
+        m_identityState = IdentityState::Confirmed;
+}
+
+void ReplicatedLog::handle(const IdentityCheck& check, const LogMessage& message, TimePoint now)
+{
+    const bool isOutdated = m_evidence.isOutdated(message.from, message.identity, check);
+    if (!isOutdated) {
+        if (m_evidence.merge({ message.from, message.identity, check.storedTerm, check.storedIndex })) {
+            m_isEvidenceChanged = true;
+            m_evidenceWriteDue = now + m_settings.timings.heartbeat;
+        }
+    }
+    send(message.from, IdentityVerdict { .subject = message.identity, .isOutdated = isOutdated }, 0);
+}
+
+void ReplicatedLog::handle(const IdentityVerdict& verdict, const LogMessage& message, TimePoint now)
+{
+    if (m_identityState != IdentityState::Unconfirmed || verdict.subject != m_settings.identity)
+        return;
+    if (verdict.isOutdated) {
+        m_identityState = IdentityState::Outdated;
+        m_isRenewalWanted = true;
+        return;
+    }
+    // The word of a voter with a new store is worth nothing: it has forgotten what it saw.
+    const Member* member = m_membership.find(message.from);
+    if (!member || (member->isVoter && !m_membership.isVoter(message.from, message.identity.store)))
+        return;
+    m_identityAnswers.insert(message.from);
+    evaluateIdentity(now);
+}
+
+void ReplicatedLog::noteEvidence(const HostId& host, const StoreIdentity& identity, Term term, LogIndex index)
+{
+    if (!m_evidence.merge({ host, identity, term, index }))
+        return;
+    if (!m_isEvidenceChanged)
+        m_evidenceWriteDue = m_now + m_settings.timings.heartbeat;
+    m_isEvidenceChanged = true;
+}
+
+void ReplicatedLog::identityRenewed(const StoreIdentity& identity)
+{
+    m_settings.identity = identity;
+    m_identityState = IdentityState::Confirmed;
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/consensus/ReplicatedLogReplication.cpp
@@ -0,0 +1,349 @@
+#include "consensus/ReplicatedLog.h"
+
+#include "core/Assert.h"
+
+namespace hickoryknot {
+
+namespace {
+
+constexpr uint64_t maxAppendsInFlight = 64; // Covers 16 MiB of entries per round trip at the default batch size.
+
+} // namespace
+
+// ---- Leader ----
+
+Expected<LogIndex> ReplicatedLog::propose(std::string payload, TimePoint now)
+{
+    m_now = now;
+    if (m_role != Role::Leader || !m_transferTarget.isEmpty())
+        return notLeader();
+    return appendOwn(EntryKind::Payload, std::move(payload));
+}
+
+LogIndex ReplicatedLog::appendOwn(EntryKind kind, std::string payload)
+{
+    const LogIndex index = m_log.lastIndex() + 1;
+    m_log.append({ .index = index, .term = m_term, .kind = kind, .payload = std::move(payload) });
+    return index;
+}
+
+Expected<uint64_t> ReplicatedLog::startReadRound(TimePoint now)
+{
+    m_now = now;
+    if (m_role != Role::Leader)
+        return notLeader();
+    // An older leader may have committed entries that this one does not know to be committed yet.
+    if (!isCommittedInOwnTerm())
+        return makeError(ErrorCode::Unavailable, "the new leader has not committed an entry of its term yet");
+    m_isRoundWanted = true;
+    return m_round + 1;
+}
+
+uint64_t ReplicatedLog::confirmedRound() const
+{
+    if (m_role != Role::Leader)
+        return 0;
+    // A sole voter needs nobody's word, not even for the round that has not begun.
+    return quorumValue<uint64_t>(m_round + 1, 0, [](const PeerProgress& peer) { return peer.answeredRound; });
+}
+
+void ReplicatedLog::startRound(TimePoint now)
+{
+    m_isRoundWanted = false;
+    m_roundTimes.emplace_back(++m_round, now);
+    while (m_roundTimes.front().second + 2 * m_settings.timings.electionMax < now)
+        m_roundTimes.pop_front();
+    for (auto& [host, peer] : m_peers) {
+        peer.mustSend = true;
+        peer.appendsInFlight = 0; // Answers may have been lost.
+    }
+}
+
+void ReplicatedLog::sendPending()
+{
+    if (m_role != Role::Leader)
+        return;
+    if (m_isRoundWanted)
+        startRound(m_now);
+    for (auto& [host, peer] : m_peers)
+        sendTo(host, peer);
+}
+
+void ReplicatedLog::sendTo(const HostId& host, PeerProgress& peer)
+{
+    if (peer.mode != PeerProgress::Mode::Snapshot && peer.next <= m_log.baseIndex()) {
+        HICKORYKNOT_ASSERT(m_log.snapshot(), "entries are only dropped below a snapshot");
+        peer.mode = PeerProgress::Mode::Snapshot;
+        peer.snapshot = m_log.snapshot();
+        peer.snapshotOffset = 0;
+        peer.isWaiting = false;
+    }
+    const bool isOneAtATime = peer.mode != PeerProgress::Mode::Pipeline;
+    if (isOneAtATime) {
+        if (peer.isWaiting && !peer.mustSend)
+            return;
+        peer.isWaiting = true;
+        if (peer.mode == PeerProgress::Mode::Snapshot)
+            sendChunk(host, peer);
+        else
+            sendEntries(host, peer);
+        return;
+    }
+    while (peer.next <= m_log.lastIndex() && peer.appendsInFlight < maxAppendsInFlight)
+        sendEntries(host, peer);
+    if (peer.mustSend || peer.sentCommit < m_commitIndex)
+        sendEntries(host, peer);
+}
+
+void ReplicatedLog::sendEntries(const HostId& host, PeerProgress& peer)
+{
+    AppendRequest request { .previousIndex = peer.next - 1,
+        .previousTerm = *m_log.termAt(peer.next - 1),
+        .entries = {},
+        .commitIndex = m_commitIndex,
+        .round = m_round,
+        .evidence = {} };
+    if (peer.appendsInFlight < maxAppendsInFlight)
+        request.entries = m_log.slice(peer.next, m_settings.batchBytes);
+    // So that the others can recognise an older disk without this host; its own progress with each message.
+    if (peer.mustSend)
+        request.evidence = m_evidence.entries();
+    if (maySendPromises())
+        request.evidence.push_back({ m_settings.self, m_settings.identity, m_term, m_persistedIndex });
+    if (peer.mode == PeerProgress::Mode::Pipeline && !request.entries.empty()) {
+        peer.next += request.entries.size();
+        ++peer.appendsInFlight;
+    }
+    peer.sentCommit = m_commitIndex;
+    peer.mustSend = false;
+    send(host, std::move(request), 0);
+}
+
+void ReplicatedLog::sendChunk(const HostId& host, PeerProgress& peer)
+{
+    const Snapshot& snapshot = *peer.snapshot;
+    auto members = decodeMembership(snapshot.members);
+    HICKORYKNOT_ASSERT(members, "a snapshot in memory holds a member list");
+    peer.mustSend = false;
+    send(host,
+        SnapshotChunk { .index = snapshot.index,
+            .indexTerm = snapshot.term,
+            .members = std::move(*members),
+            .totalBytes = snapshot.data->size(),
+            .offset = peer.snapshotOffset,
+            .data = snapshot.data->substr(peer.snapshotOffset, m_settings.batchBytes),
+            .round = m_round },
+        0);
+}
+
+PeerProgress* ReplicatedLog::noteAnswer(const LogMessage& message, uint64_t round)
+{
+    const auto found = m_peers.find(message.from);
+    if (m_role != Role::Leader || message.term != m_term || found == m_peers.end())
+        return nullptr;
+    PeerProgress& peer = found->second;
+    // Another run may have lost what the earlier one had in memory, another store what it had on disk.
+    if (peer.identity != message.identity) {
+        peer = PeerProgress();
+        peer.identity = message.identity;
+        peer.next = m_log.lastIndex() + 1;
+    }
+    const auto sent
+        = std::find_if(m_roundTimes.begin(), m_roundTimes.end(), [&](const auto& item) { return item.first == round; });
+    if (sent != m_roundTimes.end() && round >= peer.answeredRound) {
+        peer.answeredRound = round;
+        peer.answeredSendTime = sent->second;
+        peer.hasAnswered = true;
+    }
+    return &peer;
+}
+
+void ReplicatedLog::handle(const AppendResponse& response, const LogMessage& message, TimePoint now)
+{
+    PeerProgress* peer = noteAnswer(message, response.round);
+    if (!peer || response.matchIndex > m_log.lastIndex())
+        return;
+    peer->isVoting = peer->isVoting || response.isVoting;
+    if (!response.isAccepted) {
+        handleRejection(*peer, response);
+        return;
+    }
+    if (response.isVoting)
+        noteEvidence(message.from, message.identity, m_term, response.matchIndex);
+    peer->match = std::max(peer->match, response.matchIndex);
+    peer->next = std::max(peer->next, peer->match + 1);
+    if (peer->appendsInFlight)
+        --peer->appendsInFlight;
+    const bool isSnapshotDone = peer->snapshot && peer->match >= peer->snapshot->index;
+    if (peer->mode == PeerProgress::Mode::Probe || isSnapshotDone) {
+        peer->mode = PeerProgress::Mode::Pipeline;
+        peer->next = peer->match + 1;
+        peer->snapshot.reset();
+        peer->isWaiting = false;
+    }
+    advanceCommit(now);
+}
+
+void ReplicatedLog::handleRejection(PeerProgress& peer, const AppendResponse& response)
+{
+    const bool isOutdated = response.rejectedIndex <= peer.match
+        || (peer.mode == PeerProgress::Mode::Probe && response.rejectedIndex != peer.next - 1);
+    if (peer.mode == PeerProgress::Mode::Snapshot || isOutdated)
+        return;
+    peer.mode = PeerProgress::Mode::Probe;
+    peer.next = std::max(peer.match, std::min(response.rejectedIndex - 1, response.hintIndex)) + 1;
+    peer.isWaiting = false;
+    peer.appendsInFlight = 0;
+}
+
+void ReplicatedLog::handle(const SnapshotResponse& response, const LogMessage& message, TimePoint)
+{
+    PeerProgress* peer = noteAnswer(message, response.round);
+    const bool isCurrent = peer && peer->mode == PeerProgress::Mode::Snapshot && peer->snapshot
+        && peer->snapshot->index == response.index && response.receivedBytes <= peer->snapshot->data->size();
+    if (!isCurrent)
+        return;
+    const bool hasMoved = response.receivedBytes != peer->snapshotOffset;
+    peer->snapshotOffset = response.receivedBytes;
+    peer->isWaiting = peer->isWaiting && !hasMoved;
+}
+
+void ReplicatedLog::advanceCommit(TimePoint)
+{
+    if (m_role != Role::Leader)
+        return;
+    const LogIndex index
+        = quorumValue<LogIndex>(m_persistedIndex, 0, [](const PeerProgress& peer) { return peer.match; });
+    // An entry of an older term may still be replaced although a majority has it.
+    if (index > m_commitIndex && m_log.termAt(index) == m_term)
+        m_commitIndex = index;
+}
+
+// ---- Follower ----
+
+bool ReplicatedLog::acceptLeader(const LogMessage& message, TimePoint now)
+{
+    if (message.term < m_term) {
+        send(message.from, AppendResponse {}, m_hardStateSequence);
+        return false;
+    }
+    if (m_role == Role::Leader)
+        return false;
+    if (m_role != Role::Follower || m_leader != message.from)
+        becomeFollower(m_term, message.from, now);
+    m_lastLeaderContact = now;
+    resetElectionTimeout(now);
+    return true;
+}
+
+void ReplicatedLog::handle(const AppendRequest& request, const LogMessage& message, TimePoint now)
+{
+    if (!acceptLeader(message, now))
+        return;
+    for (const auto& evidence : request.evidence)
+        noteEvidence(evidence.host, evidence.identity, evidence.term, evidence.index);
+    const bool isCompacted = request.previousIndex < m_log.baseIndex();
+    if (!isCompacted && m_log.termAt(request.previousIndex) != request.previousTerm) {
+        rejectAppend(request, message);
+        return;
+    }
+    storeEntries(request);
+    const LogIndex match = request.previousIndex + request.entries.size();
+    m_commitIndex = std::max(m_commitIndex, std::min(match, request.commitIndex));
+    acknowledge(message.from, match, request.round);
+}
+
+void ReplicatedLog::rejectAppend(const AppendRequest& request, const LogMessage& message)
+{
+    LogIndex hint = m_log.lastIndex();
+    if (request.previousIndex <= hint)
+        hint = std::max(m_commitIndex, m_log.lastIndexBeforeTermOf(request.previousIndex));
+    send(message.from,
+        AppendResponse { .isVoting = maySendPromises(),
+            .rejectedIndex = request.previousIndex,
+            .hintIndex = hint,
+            .round = request.round },
+        m_hardStateSequence);
+}
+
+void ReplicatedLog::acknowledge(const HostId& leader, LogIndex match, uint64_t round)
+{
+    // A heartbeat is answered at once, even while a write is under way.
+    const uint64_t sequence = match <= m_persistedIndex ? m_hardStateSequence : nextWriteSequence();
+    send(leader,
+        AppendResponse { .isAccepted = true, .isVoting = maySendPromises(), .matchIndex = match, .round = round },
+        std::max(sequence, m_hardStateSequence));
+}
+
+void ReplicatedLog::storeEntries(const AppendRequest& request)
+{
+    bool isMembershipChanged = false;
+    for (const auto& entry : request.entries) {
+        if (entry.index <= m_log.baseIndex() || m_log.termAt(entry.index) == entry.term)
+            continue;
+        if (entry.index <= m_log.lastIndex()) {
+            dropFrom(entry.index);
+            isMembershipChanged = true;
+        }
+        m_log.append(entry);
+        isMembershipChanged = isMembershipChanged || entry.kind == EntryKind::Members;
+    }
+    if (isMembershipChanged)
+        rebuildMembership();
+}
+
+void ReplicatedLog::dropFrom(LogIndex index)
+{
+    HICKORYKNOT_ASSERT(index > m_commitIndex, "committed entries are never replaced");
+    m_log.truncateFrom(index);
+    m_unwrittenFrom = std::min(m_unwrittenFrom, index);
+    m_persistedIndex = std::min(m_persistedIndex, index - 1);
+    for (auto& [sequence, last] : m_writesInFlight)
+        last = std::min(last, index - 1);
+}
+
+void ReplicatedLog::handle(const SnapshotChunk& chunk, const LogMessage& message, TimePoint now)
+{
+    if (!acceptLeader(message, now))
+        return;
+    // What this log already holds must not be dropped: it may have been acknowledged.
+    if (chunk.index <= m_commitIndex || m_log.termAt(chunk.index) == chunk.indexTerm) {
+        m_commitIndex = std::max(m_commitIndex, chunk.index);
+        acknowledge(message.from, chunk.index, chunk.round);
+        return;
+    }
+    const bool isSame = m_incoming && m_incoming->index == chunk.index && m_incoming->term == chunk.indexTerm;
+    if (!isSame)
+        m_incoming = IncomingSnapshot { .index = chunk.index, .term = chunk.indexTerm, .data = {} };
+    if (chunk.offset == m_incoming->data.size())
+        m_incoming->data += chunk.data;
+    if (m_incoming->data.size() < chunk.totalBytes) {
+        const SnapshotResponse response {
+            .index = chunk.index, .receivedBytes = m_incoming->data.size(), .round = chunk.round
+        };
+        send(message.from, response, m_hardStateSequence);
+        return;
+    }
+    installSnapshot(chunk);
+    acknowledge(message.from, chunk.index, chunk.round);
+}
+
+void ReplicatedLog::installSnapshot(const SnapshotChunk& chunk)
+{
+    Snapshot snapshot { .index = chunk.index,
+        .term = chunk.indexTerm,
+        .members = encodeMembership(chunk.members),
+        .data = std::make_shared<const std::string>(std::move(m_incoming->data)) };
+    m_incoming.reset();
+    m_log.restartAt(snapshot);
+    m_commitIndex = m_takenCommit = snapshot.index;
+    m_isSnapshotUnwritten = m_isLogRestarted = true;
+    m_unwrittenFrom = snapshot.index + 1;
+    m_persistedIndex = 0;
+    for (auto& [sequence, last] : m_writesInFlight)
+        last = 0;
+    m_installed = std::move(snapshot);
+    rebuildMembership();
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/log/RecordStore.cpp
@@ -0,0 +1,353 @@
+#include "log/RecordStore.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "core/Assert.h"
+#include "log/RecordFormat.h"
+#include "log/StoreIdentityFile.h"
+
+namespace hickoryknot {
+
+namespace {
+
+constexpr std::string_view segmentPrefix = "segment-";
+
+std::string segmentName(uint64_t number)
+{
+    char name[40];
+    std::snprintf(name, sizeof name, "segment-%016llu.log", static_cast<unsigned long long>(number));
+    return name;
+}
+
+tl::unexpected<Error> corrupt(const Disk& disk, const std::string& file, size_t offset, const std::string& what)
+{
+    return makeError(ErrorCode::Corrupt,
+        disk.description() + "/" + file + " at offset " + std::to_string(offset) + ": " + what
+            + ". Nothing was changed. Move the whole folder aside and start with an empty one: the host rejoins as a "
+              "learner and is promoted by the leader; see docs/storage.md");
+}
+
+} // namespace
+
+// What the records read so far add up to.
+struct RecordStore::Replay {
+    HardState hardState;
+    std::optional<std::pair<LogIndex, Term>> restart; // From the latest LogRestart record.
+    std::vector<LogEntry> entries;
+    std::optional<uint64_t> lastBatch;
+    uint64_t cutBytes { 0 };
+
+    Expected<void> add(const RecordView& record, LogIndex& highestIndex)
+    {
+        switch (record.kind) {
+        case RecordKind::SegmentStart:
+            return {};
+        case RecordKind::HardState:
+            return decodeHardState(record.body).map([&](HardState state) { hardState = std::move(state); });
+        case RecordKind::LogRestart:
+            return decodePosition(record.body).map([&](auto position) {
+                restart = position;
+                entries.clear();
+            });
+        case RecordKind::Entry:
+            break;
+        default:
+            return makeError(ErrorCode::Corrupt, "the record has an unknown kind");
+        }
+        auto entry = decodeEntry(record.body);
+        if (!entry)
+            return tl::unexpected(entry.error());
+        highestIndex = std::max(highestIndex, entry->index);
+        return addEntry(std::move(*entry));
+    }
+
+    // An entry replaces the one with its index and all after it.
+    Expected<void> addEntry(LogEntry entry)
+    {
+        const LogIndex first = !entries.empty() ? entries.front().index : restart ? restart->first + 1 : entry.index;
+        if (entry.index < first || entry.index > first + entries.size())
+            return makeError(ErrorCode::Corrupt, "the entry does not follow the one before it");
+        entries.resize(entry.index - first);
+        entries.push_back(std::move(entry));
+        return {};
+    }
+
+    // True if the entries together with a snapshot at this index leave no gap.
+    bool fits(LogIndex snapshotIndex) const
+    {
+        if (!entries.empty())
+            return entries.front().index <= snapshotIndex + 1;
+        return !restart || restart->first <= snapshotIndex;
+    }
+};
+
+Expected<std::unique_ptr<RecordStore>> RecordStore::open(
+    std::unique_ptr<Disk> disk, const RecordStoreSettings& settings)
+{
+    if (settings.session == SessionId::None || settings.host.isEmpty())
+        return makeError(ErrorCode::InvalidArgument, "a record store needs a host id and a session id");
+    std::unique_ptr<RecordStore> store(new RecordStore(std::move(disk), settings));
+    const auto opened = store->openIdentity().and_then([&] { return store->recover(); }).and_then([&] {
+        // Counted up last, so that a refused folder stays as it was.
+        StoreIdentity next = store->m_identity;
+        ++next.incarnation;
+        return store->writeIdentity(next);
+    });
+    if (!opened)
+        return tl::unexpected(opened.error());
+    return store;
+}
+
+RecordStore::RecordStore(std::unique_ptr<Disk> disk, const RecordStoreSettings& settings)
+    : m_disk(std::move(disk))
+    , m_settings(settings)
+    , m_snapshots(*m_disk)
+{
+}
+
+RecoveredLog RecordStore::takeRecovered() { return std::exchange(m_recovered, {}); }
+
+Expected<void> RecordStore::openIdentity()
+{
+    const auto names = m_disk->list();
+    if (!names)
+        return tl::unexpected(names.error());
+    const StoreIdentityFile file(*m_disk, m_settings.cell, m_settings.group, m_settings.host);
+    const auto identity = file.read();
+    if (identity) {
+        m_identity = *identity;
+        m_identity.session = m_settings.session;
+        m_recovered.wasEmpty = false;
+        return {};
+    }
+    if (identity.error().code != ErrorCode::NotFound)
+        return tl::unexpected(identity.error());
+    const bool hasData = std::any_of(names->begin(), names->end(),
+        [](const auto& name) { return name.starts_with(segmentPrefix) || name.ends_with(".snap"); });
+    if (hasData)
+        return corrupt(*m_disk, StoreIdentityFile::name, 0, "the identity file is missing although there are records");
+    m_identity = { .store = static_cast<StoreId>(m_settings.session), .session = m_settings.session };
+    return {};
+}
+
+Expected<void> RecordStore::writeIdentity(const StoreIdentity& identity)
+{
+    const StoreIdentityFile file(*m_disk, m_settings.cell, m_settings.group, m_settings.host);
+    if (auto written = file.write(identity); !written)
+        return written;
+    m_identity = identity;
+    return {};
+}
+
+Expected<void> RecordStore::recover()
+{
+    auto snapshots = m_snapshots.load();
+    if (!snapshots)
+        return tl::unexpected(snapshots.error());
+    Replay replay;
+    if (auto read = readSegments(replay); !read)
+        return read;
+    m_hardState = replay.hardState;
+    m_batch = replay.lastBatch.value_or(0);
+    m_recovered.hardState = replay.hardState;
+    m_recovered.cutBytes = replay.cutBytes;
+    m_recovered.damagedSnapshots = m_snapshots.damagedFiles();
+    return joinWithSnapshots(replay, std::move(*snapshots));
+}
+
+Expected<void> RecordStore::readSegments(Replay& replay)
+{
+    const auto names = m_disk->list();
+    if (!names)
+        return tl::unexpected(names.error());
+    for (const auto& name : *names) {
+        if (!name.starts_with(segmentPrefix))
+            continue;
+        Segment segment { .number = std::strtoull(name.c_str() + segmentPrefix.size(), nullptr, 10) };
+        if (name != segmentName(segment.number))
+            return corrupt(*m_disk, name, 0, "the file name is not that of a segment");
+        if (!m_segments.empty() && segment.number != m_segments.back().number + 1)
+            return corrupt(*m_disk, segmentName(m_segments.back().number + 1), 0, "the segment is missing");
+        m_segments.push_back(segment);
+    }
+    for (size_t i = 0; i < m_segments.size(); ++i) {
+        if (auto read = readSegment(replay, m_segments[i], i + 1 == m_segments.size()); !read)
+            return read;
+    }
+    // A segment of which nothing was synced is as if it had never been started.
+    if (!m_segments.empty() && !m_segments.back().bytes) {
+        if (auto removed = m_disk->remove(segmentName(m_segments.back().number)); !removed)
+            return removed;
+        m_segments.pop_back();
+    }
+    return {};
+}
+
+Expected<void> RecordStore::readSegment(Replay& replay, Segment& segment, bool isLast)
+{
+    const std::string name = segmentName(segment.number);
+    const auto bytes = m_disk->read(name);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    std::vector<RecordView> batch;
+    size_t batchStart = 0;
+    size_t offset = 0;
+    while (const auto record = readRecord(*bytes, offset)) {
+        const uint64_t expected = replay.lastBatch ? *replay.lastBatch + 1 : record->batch;
+        const bool isSameBatch = batch.empty() || record->batch == batch.front().batch;
+        if (record->batch != expected || !isSameBatch)
+            return corrupt(*m_disk, name, offset, "the record does not follow the one before it");
+        batch.push_back(*record);
+        offset += record->size;
+        if (!record->isBatchEnd)
+            continue;
+        for (const auto& part : batch) {
+            if (auto added = replay.add(part, segment.highestIndex); !added)
+                return corrupt(*m_disk, name, batchStart, added.error().message);
+        }
+        replay.lastBatch = record->batch;
+        batch.clear();
+        batchStart = offset;
+    }
+    segment.bytes = batchStart;
+    if (batchStart == bytes->size())
+        return {};
+    // Only the batch being written when the host stopped may be incomplete; a later whole one proves damage.
+    const uint64_t openBatch = !batch.empty() ? batch.front().batch : replay.lastBatch.value_or(0) + 1;
+    const bool isDamaged = !isLast || findRecordOfLaterBatch(*bytes, offset, openBatch);
+    if (isDamaged)
+        return corrupt(*m_disk, name, offset, "a record fails its checksum although later ones are whole");
+    replay.cutBytes = bytes->size() - batchStart;
+    return m_disk->truncate(name, batchStart).and_then([&] { return m_disk->sync(name); });
+}
+
+Expected<void> RecordStore::joinWithSnapshots(Replay& replay, std::vector<Snapshot> snapshots)
+{
+    const auto fitting = std::find_if(
+        snapshots.begin(), snapshots.end(), [&](const Snapshot& snapshot) { return replay.fits(snapshot.index); });
+    if (fitting != snapshots.end())
+        m_recovered.snapshot = std::move(*fitting);
+    else if (!replay.fits(0)) {
+        const auto& damaged = m_snapshots.damagedFiles();
+        return corrupt(*m_disk, damaged.empty() ? "snapshot" : damaged.back(), 0,
+            "the log starts later than the newest sound snapshot ends");
+    }
+    const LogIndex base = m_recovered.snapshot ? m_recovered.snapshot->index : 0;
+    auto& entries = replay.entries;
+    m_lastIndex = base;
+    if (entries.empty())
+        return {};
+    // A snapshot from the leader may have been stored without the record that restarts the log after it.
+    const LogIndex first = entries.front().index;
+    const bool endsBelow = entries.back().index < base;
+    const bool differs = !endsBelow && base >= first && entries[base - first].term != m_recovered.snapshot->term;
+    if (endsBelow || differs) {
+        m_pendingRestart.emplace(base, m_recovered.snapshot->term);
+        return {};
+    }
+    entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(base + 1 - first));
+    m_recovered.entries = std::move(entries);
+    m_lastIndex = base + m_recovered.entries.size();
+    return {};
+}
+
+WriteResult RecordStore::write(const WriteBatch& batch)
+{
+    WriteResult result;
+    result.sequence = batch.sequence;
+    if (const auto written = writeAndSync(batch); !written)
+        result.error = written.error();
+    result.identity = m_identity;
+    return result;
+}
+
+Expected<void> RecordStore::writeAndSync(const WriteBatch& batch)
+{
+    if (m_failure)
+        return tl::unexpected(*m_failure);
+    auto applied = apply(batch);
+    if (!applied) {
+        m_failure = Error { ErrorCode::Storage,
+            applied.error().message
+                + ". This host acknowledges nothing more. Free space or replace the disk, then restart the host; see "
+                  "docs/storage.md" };
+        return tl::unexpected(*m_failure);
+    }
+    return applied;
+}
+
+Expected<void> RecordStore::apply(const WriteBatch& batch)
+{
+    HICKORYKNOT_ASSERT(!batch.isLogRestarted || batch.snapshot, "only a snapshot can replace the log");
+    if (batch.snapshot) {
+        if (auto written = m_snapshots.write(*batch.snapshot); !written)
+            return written;
+    }
+    if (batch.isLogRestarted)
+        m_pendingRestart.emplace(batch.snapshot->index, batch.snapshot->term);
+    if (auto appended = appendRecords(batch); !appended)
+        return appended;
+    if (batch.isIdentityRenewed) {
+        const StoreIdentity renewed {
+            .store = static_cast<StoreId>(m_settings.session), .incarnation = 1, .session = m_settings.session
+        };
+        if (auto written = writeIdentity(renewed); !written)
+            return written;
+    }
+    return batch.snapshot ? compact() : Expected<void>();
+}
+
+Expected<void> RecordStore::appendRecords(const WriteBatch& batch)
+{
+    if (!batch.hardState && batch.entries.empty() && !m_pendingRestart)
+        return {};
+    const bool startsSegment = m_segments.empty() || m_segments.back().bytes >= m_settings.segmentBytes;
+    std::vector<std::pair<RecordKind, std::string>> records;
+    if (startsSegment) {
+        m_segments.push_back({ .number = m_segments.empty() ? 1 : m_segments.back().number + 1 });
+        records.emplace_back(RecordKind::SegmentStart, encodePosition(recordFormatVersion, m_segments.back().number));
+    }
+    if (batch.hardState)
+        m_hardState = *batch.hardState;
+    // Each segment repeats the term and vote, so that older segments can be removed.
+    if (batch.hardState || startsSegment)
+        records.emplace_back(RecordKind::HardState, encodeHardState(m_hardState));
+    if (m_pendingRestart) {
+        records.emplace_back(RecordKind::LogRestart, encodePosition(m_pendingRestart->first, m_pendingRestart->second));
+        m_lastIndex = m_pendingRestart->first;
+    }
+    Segment& segment = m_segments.back();
+    for (const auto& entry : batch.entries) {
+        HICKORYKNOT_ASSERT(entry.index <= m_lastIndex + 1, "entries are stored without gaps");
+        records.emplace_back(RecordKind::Entry, encodeEntry(entry));
+        segment.highestIndex = std::max(segment.highestIndex, entry.index);
+        m_lastIndex = entry.index;
+    }
+    std::string bytes;
+    for (size_t i = 0; i < records.size(); ++i)
+        appendRecord(bytes, records[i].first, m_batch + 1, i + 1 == records.size(), records[i].second);
+    const std::string name = segmentName(segment.number);
+    auto written = m_disk->append(name, bytes).and_then([&] { return m_disk->sync(name); });
+    if (written && startsSegment)
+        written = m_disk->syncFolder();
+    if (!written)
+        return written;
+    segment.bytes += bytes.size();
+    ++m_batch;
+    m_pendingRestart.reset();
+    return {};
+}
+
+Expected<void> RecordStore::compact()
+{
+    const LogIndex keptFrom = m_snapshots.compactionIndex();
+    while (m_segments.size() > 1 && m_segments.front().highestIndex <= keptFrom) {
+        if (auto removed = m_disk->remove(segmentName(m_segments.front().number)); !removed)
+            return removed;
+        m_segments.erase(m_segments.begin());
+    }
+    return {};
+}
+
+} // namespace hickoryknot
--- a/src/log/RecordStore.h
+++ b/src/log/RecordStore.h
@@ -56,11 +56,9 @@
     Expected<void> recover();
     Expected<void> readSegments(Replay&);
     Expected<void> readSegment(Replay&, Segment&, bool isLast);
-    Expected<void> cutTail(Segment&, uint64_t keptBytes, uint64_t fileBytes);
     Expected<void> joinWithSnapshots(Replay&, std::vector<Snapshot>);
     Expected<void> apply(const WriteBatch&);
     Expected<void> appendRecords(const WriteBatch&);
-    Expected<void> startSegment();
     Expected<void> compact();
 
     // Settings.
@@ -74,7 +72,7 @@
     std::vector<Segment> m_segments;
     uint64_t m_batch { 0 }; // Number of the last batch.
     LogIndex m_lastIndex { 0 };
-    std::optional<LogEntry> m_pendingRestart; // Position after which the log starts anew, not yet recorded.
+    std::optional<std::pair<LogIndex, Term>> m_pendingRestart; // Where the log starts anew, not yet recorded.
     std::optional<Error> m_failure;
     RecoveredLog m_recovered;
 };
