--- /dev/null
+++ b/src/scheduler/ZoneScheduler.cpp
@@ -0,0 +1,442 @@
+#include "scheduler/ZoneScheduler.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+#include "scheduler/CellLink.h"
+#include "scheduler/EngineMirror.h"
+#include "scheduler/WorkerDesk.h"
+
+namespace hickoryknot {
+
+struct ZoneScheduler::Impl {
+    Impl(ZoneSchedulerSettings s, const ZoneState& z, const CellState& c, PlacerFactory factory)
+        : settings(std::move(s))
+        , state(z)
+        , cell(c)
+        , registry(settings.workers)
+        , mirror(z, std::move(factory))
+        , desk(settings.leases, z, c)
+        , link(z, c, settings.cellRetry)
+    {
+    }
+
+    bool isConnected(TimePoint now) const { return zoneLease.isHeld(now) && tableLease.isHeld(now); }
+
+    void propose(ProposalBatch&, ZoneCommand);
+    void readChanges(TimePoint now);
+    void followConnection(TimePoint now);
+    void watchWorkers(TimePoint now);
+    void proposeEndings(ProposalBatch&, UnixMs atMs);
+    void proposeWorkers(ProposalBatch&, UnixMs atMs);
+    void proposeCutOff(ProposalBatch&);
+    void proposeDecisions(ProposalBatch&, TimePoint now, WallTime wall, UnixMs atMs);
+    void proposeRefusals(ProposalBatch&, std::vector<MirrorDecisions::Refusal>, UnixMs atMs);
+    void proposeExpiry(ProposalBatch&, TimePoint now, UnixMs atMs);
+    void settle(const ZoneCommand&, const CommandResult*, TimePoint now);
+    void settlePlacements(const PlaceTasks&, const CommandResult*, TimePoint now);
+    std::string explainFacts(const ZoneJob&, TimePoint now) const;
+
+    // Settings and sources.
+    ZoneSchedulerSettings settings;
+    const ZoneState& state;
+    const CellState& cell;
+
+    // State of this leadership.
+    bool isLeader { false };
+    uint64_t term { 0 };
+    TimePoint leaderSince;
+    LeaseLimits limits;
+    HeldLease zoneLease;
+    HeldLease tableLease;
+    bool wasConnected { false };
+    WorkerRegistry registry;
+    EngineMirror mirror;
+    WorkerDesk desk;
+    CellLink link;
+    uint64_t zoneCursor { 0 };
+    uint64_t cellCursor { 0 };
+    std::set<WorkerId> unrecordedWorkers;
+    std::map<uint64_t, ZoneCommand> outstanding;
+    uint64_t nextToken { 1 };
+    bool isCutOffProposed { false };
+    TimePoint expiredAt;
+};
+
+ZoneScheduler::ZoneScheduler(
+    ZoneSchedulerSettings settings, const ZoneState& state, const CellState& cell, PlacerFactory factory)
+    : m_impl(std::make_unique<Impl>(std::move(settings), state, cell, std::move(factory)))
+{
+}
+
+ZoneScheduler::~ZoneScheduler() = default;
+
+void ZoneScheduler::becomeLeader(uint64_t term, TimePoint now)
+{
+    resign();
+    auto& s = *m_impl;
+    s.isLeader = true;
+    s.term = term;
+    s.leaderSince = now;
+    s.expiredAt = now;
+    s.desk.begin(term, now);
+    s.link.begin();
+    s.wasConnected = s.isConnected(now);
+    s.mirror.reset(s.cell.table(), s.registry, s.wasConnected, now);
+    // Everything recorded up to now has just been looked at.
+    std::vector<JobNumber> ignored;
+    s.state.changes().read(s.zoneCursor, ignored);
+    s.cell.changes().read(s.cellCursor, ignored);
+}
+
+void ZoneScheduler::resign()
+{
+    auto& s = *m_impl;
+    s.isLeader = false;
+    s.limits = {};
+    s.zoneLease.drop();
+    s.tableLease.drop();
+    s.registry.clear();
+    s.mirror.clear();
+    s.desk.clear();
+    s.unrecordedWorkers.clear();
+    s.outstanding.clear();
+    s.isCutOffProposed = false;
+}
+
+bool ZoneScheduler::isLeader() const { return m_impl->isLeader; }
+
+void ZoneScheduler::leadershipConfirmed(TimePoint roundStartedAt)
+{
+    // A round that began before this leadership says nothing about it.
+    if (m_impl->isLeader && roundStartedAt >= m_impl->leaderSince)
+        m_impl->limits.confirmedAt = std::max(m_impl->limits.confirmedAt, roundStartedAt);
+}
+
+void ZoneScheduler::zoneLeaseRenewed(TimePoint requestSentAt, Duration lease)
+{
+    if (m_impl->isLeader && lease > Duration::zero())
+        m_impl->zoneLease.renewed(requestSentAt, lease);
+}
+
+void ZoneScheduler::tableLeaseRenewed(TimePoint requestSentAt, Duration lease)
+{
+    if (m_impl->isLeader && lease > Duration::zero())
+        m_impl->tableLease.renewed(requestSentAt, lease);
+}
+
+WorkerInstructions ZoneScheduler::heartbeat(const WorkerHeartbeat& heartbeat, TimePoint now)
+{
+    auto& s = *m_impl;
+    if (!s.isLeader || heartbeat.zone != s.settings.zone)
+        return {};
+    // The record may know of a later start than this leader has heard of.
+    const auto recorded = s.state.findWorker(heartbeat.worker);
+    const bool isOld = recorded && s.state.workers()[*recorded].incarnation > heartbeat.incarnation;
+    const WorkerNews news = isOld ? WorkerNews::Stale : s.registry.heard(heartbeat, now);
+    if (news == WorkerNews::Stale)
+        return {};
+    const WorkerView& view = *s.registry.find(heartbeat.worker);
+    const bool isRecorded = recorded && s.state.workers()[*recorded].incarnation == view.incarnation
+        && s.state.workers()[*recorded].capacity == view.capacity && s.state.workers()[*recorded].rack == view.rack;
+    if (!isRecorded)
+        s.unrecordedWorkers.insert(heartbeat.worker);
+    if (news != WorkerNews::Nothing)
+        s.mirror.updateWorker(view, now);
+    s.desk.report(heartbeat);
+    for (const auto& running : heartbeat.running) {
+        if (const auto key = s.state.findAssignment(running.epoch))
+            s.mirror.usageReported(*key, running.used, now);
+    }
+    return answer(heartbeat.worker, now);
+}
+
+WorkerInstructions ZoneScheduler::answer(const WorkerId& worker, TimePoint now)
+{
+    auto& s = *m_impl;
+    const WorkerView* view = s.isLeader ? s.registry.find(worker) : nullptr;
+    if (!view)
+        return {};
+    s.limits.zoneLeaseEnd = s.zoneLease.end();
+    return s.desk.answer(*view, s.limits, now);
+}
+
+bool ZoneScheduler::isHoldable(const WorkerHeartbeat& heartbeat, const WorkerInstructions& instructions)
+{
+    return instructions.term && heartbeat.term == instructions.term && instructions.start.empty()
+        && instructions.stop.empty() && instructions.acknowledged.empty();
+}
+
+bool ZoneScheduler::hasInstructions(const WorkerId& worker) const
+{
+    return m_impl->isLeader && m_impl->desk.hasNews(worker);
+}
+
+std::vector<WorkerId> ZoneScheduler::takeWoken() { return m_impl->desk.takeWoken(); }
+
+ProposalBatch ZoneScheduler::tick(TimePoint now, WallTime wall)
+{
+    auto& s = *m_impl;
+    ProposalBatch batch;
+    if (!s.isLeader)
+        return batch;
+    const UnixMs atMs = wall.time_since_epoch() / 1ms;
+    s.readChanges(now);
+    s.followConnection(now);
+    s.mirror.updateTable(s.cell.table(), now);
+    s.watchWorkers(now);
+    s.desk.checkLeases(s.registry, now);
+    // Ends come before new workers, so that what was never handed out does not count as lost with a restart.
+    s.proposeEndings(batch, atMs);
+    s.proposeWorkers(batch, atMs);
+    s.proposeCutOff(batch);
+    for (auto& command : s.link.zoneCommands(atMs))
+        s.propose(batch, std::move(command));
+    s.proposeDecisions(batch, now, wall, atMs);
+    s.proposeExpiry(batch, now, atMs);
+    for (const auto& command : s.link.cellCommands(now, atMs))
+        batch.cell.push_back({ .token = s.nextToken++, .payload = encodeCellCommand(command) });
+    return batch;
+}
+
+void ZoneScheduler::Impl::propose(ProposalBatch& batch, ZoneCommand command)
+{
+    const uint64_t token = nextToken++;
+    batch.zone.push_back({ .token = token, .payload = encodeZoneCommand(command) });
+    outstanding.emplace(token, std::move(command));
+}
+
+void ZoneScheduler::Impl::readChanges(TimePoint now)
+{
+    std::vector<JobNumber> jobs;
+    if (!state.changes().read(zoneCursor, jobs)) {
+        // More changes than the feed keeps: look at everything.
+        mirror.syncAll(now);
+        desk.syncAll(now);
+        link.allChanged();
+    }
+    for (const auto job : jobs) {
+        mirror.sync(job, now);
+        desk.sync(job, now);
+        link.changed(job);
+    }
+    jobs.clear();
+    if (!cell.changes().read(cellCursor, jobs))
+        link.allChanged();
+    for (const auto job : jobs)
+        link.changed(job);
+}
+
+// A cut off zone places no work of rows that must stop; the engine is told by leaving that work out.
+void ZoneScheduler::Impl::followConnection(TimePoint now)
+{
+    if (wasConnected == isConnected(now))
+        return;
+    wasConnected = !wasConnected;
+    mirror.reset(cell.table(), registry, wasConnected, now);
+}
+
+void ZoneScheduler::Impl::watchWorkers(TimePoint now)
+{
+    std::vector<WorkerId> silent;
+    registry.appendNewlySilent(now, silent);
+    for (const auto& worker : silent)
+        mirror.updateWorker(*registry.find(worker), now);
+}
+
+void ZoneScheduler::Impl::proposeEndings(ProposalBatch& batch, UnixMs atMs)
+{
+    EndTasks command { .entries = desk.takeEndings(), .atMs = atMs };
+    if (command.entries.empty())
+        return;
+    for (const auto& entry : command.entries)
+        mirror.noteEnd(entry.epoch, entry.result, entry.runTime);
+    propose(batch, std::move(command));
+}
+
+void ZoneScheduler::Impl::proposeWorkers(ProposalBatch& batch, UnixMs atMs)
+{
+    RecordWorkers command { .atMs = atMs };
+    for (const auto& worker : unrecordedWorkers) {
+        const WorkerView* view = registry.find(worker);
+        if (view)
+            command.entries.push_back(
+                { .worker = worker, .incarnation = view->incarnation, .rack = view->rack, .capacity = view->capacity });
+    }
+    unrecordedWorkers.clear();
+    if (!command.entries.empty())
+        propose(batch, std::move(command));
+}
+
+void ZoneScheduler::Impl::proposeCutOff(ProposalBatch& batch)
+{
+    if (isCutOffProposed || cell.table().version() <= state.cutOffVersion())
+        return;
+    RecordCutOff command { .tableVersion = cell.table().version() };
+    for (const auto number : state.openJobs()) {
+        const ZoneJob& job = *state.findJob(number);
+        const Row* row = cell.table().findClass(job.spec.row);
+        if (number.isCellJob && row && row->cutOff != job.cutOff)
+            command.entries.push_back({ .job = number, .cutOff = row->cutOff });
+    }
+    isCutOffProposed = true;
+    propose(batch, std::move(command));
+}
+
+void ZoneScheduler::Impl::proposeDecisions(ProposalBatch& batch, TimePoint now, WallTime wall, UnixMs atMs)
+{
+    auto wanted = mirror.decide(now, wall, settings.maxDecisionsPerTick);
+    if (!wanted.place.empty())
+        propose(batch, PlaceTasks { .entries = std::move(wanted.place), .atMs = atMs });
+    for (const uint64_t epoch : wanted.preempt)
+        desk.requestStop(epoch, true, TaskResult::Preempted, now);
+    if (!wanted.refuse.empty())
+        proposeRefusals(batch, std::move(wanted.refuse), atMs);
+}
+
+void ZoneScheduler::Impl::proposeRefusals(
+    ProposalBatch& batch, std::vector<MirrorDecisions::Refusal> refusals, UnixMs atMs)
+{
+    RefuseJobs refused { .atMs = atMs };
+    GiveBackJobs returned { .atMs = atMs };
+    // Another zone may have larger workers, so only the cell can refuse its jobs.
+    for (auto& refusal : refusals) {
+        if (refusal.job.isCellJob)
+            returned.entries.push_back(
+                { .job = refusal.job.number, .canNeverRun = true, .reason = std::move(refusal.sentence) });
+        else
+            refused.entries.push_back({ .job = refusal.job, .reason = std::move(refusal.sentence) });
+    }
+    if (!refused.entries.empty())
+        propose(batch, std::move(refused));
+    if (!returned.entries.empty())
+        propose(batch, std::move(returned));
+}
+
+void ZoneScheduler::Impl::proposeExpiry(ProposalBatch& batch, TimePoint now, UnixMs atMs)
+{
+    if (now - expiredAt < settings.expiryInterval)
+        return;
+    expiredAt = now;
+    propose(batch, Expire { .atMs = atMs });
+    // Workers that are gone for good.
+    ForgetWorkers gone;
+    for (const auto& record : state.workers()) {
+        const WorkerView* view = registry.find(record.worker);
+        const TimePoint lastSign = view ? view->heardAt : leaderSince;
+        if (!record.worker.isEmpty() && !record.assigned && now - lastSign > settings.forgetWorkerAfter)
+            gone.workers.push_back(record.worker);
+    }
+    if (!gone.workers.empty())
+        propose(batch, std::move(gone));
+}
+
+void ZoneScheduler::proposalEnded(uint64_t token, const Expected<std::string>& result, TimePoint now)
+{
+    auto& s = *m_impl;
+    const auto found = s.outstanding.find(token);
+    if (!s.isLeader || found == s.outstanding.end())
+        return;
+    const ZoneCommand command = std::move(found->second);
+    s.outstanding.erase(found);
+    s.readChanges(now);
+    const auto decoded
+        = result ? decodeCommandResult(*result) : Expected<CommandResult>(tl::unexpected<Error>(result.error()));
+    s.settle(command, decoded ? &*decoded : nullptr, now);
+}
+
+// `result` is null if the command was not accepted, or it is open whether it takes effect later.
+void ZoneScheduler::Impl::settle(const ZoneCommand& command, const CommandResult* result, TimePoint now)
+{
+    link.settled(command);
+    if (const auto* placed = std::get_if<PlaceTasks>(&command)) {
+        settlePlacements(*placed, result, now);
+    } else if (const auto* ended = std::get_if<EndTasks>(&command)) {
+        for (const auto& entry : ended->entries) {
+            if (!result)
+                desk.endingFailed(entry);
+        }
+    } else if (const auto* workers = std::get_if<RecordWorkers>(&command)) {
+        for (const auto& entry : workers->entries) {
+            const WorkerView* view = registry.find(entry.worker);
+            if (view && result)
+                mirror.updateWorker(*view, now);
+            else if (view)
+                unrecordedWorkers.insert(entry.worker);
+        }
+    } else if (std::holds_alternative<RecordCutOff>(command)) {
+        isCutOffProposed = false;
+    } else if (const auto* gone = std::get_if<ForgetWorkers>(&command)) {
+        for (const auto& worker : gone->workers) {
+            if (state.findWorker(worker))
+                continue;
+            registry.forget(worker);
+            mirror.removeWorker(worker);
+        }
+    }
+}
+
+void ZoneScheduler::Impl::settlePlacements(const PlaceTasks& placed, const CommandResult* result, TimePoint now)
+{
+    const auto* done = result ? std::get_if<BatchDone>(result) : nullptr;
+    for (size_t i = 0; i < placed.entries.size(); ++i) {
+        if (!done || i >= done->epochs.size() || !done->epochs[i])
+            mirror.placementFailed(placed.entries[i], now);
+    }
+}
+
+Expected<std::string> ZoneScheduler::explainJob(const JobId& id, TimePoint now, WallTime wall) const
+{
+    const auto& s = *m_impl;
+    const auto number = parseJobId(id, s.settings.zone);
+    const ZoneJob* job = number ? s.state.findJob(*number) : nullptr;
+    if (!job)
+        return makeError(
+            ErrorCode::NotFound, fmt::format("job {} is not known in zone {}", id.value(), s.settings.zone.value()));
+    auto text = s.explainFacts(*job, now);
+    if (const auto reasons = s.mirror.explain(*number, now, wall); !reasons.empty())
+        text += " " + reasons;
+    return text;
+}
+
+std::string ZoneScheduler::Impl::explainFacts(const ZoneJob& job, TimePoint now) const
+{
+    const auto id = makeJobId(job.number, state.zone());
+    if (job.phase == ZoneJobPhase::Ended)
+        return fmt::format("Job {} ended as {} ({}): {}", id.value(), outcomeKindName(job.outcome.kind),
+            job.outcome.reason, job.outcome.sentence);
+    auto text
+        = fmt::format("Job {} is in zone {}, submitted {} s ago: {} of {} tasks wait, {} are assigned, {} finished, "
+                      "{} failed for good.",
+            id.value(), state.zone().value(), std::max<UnixMs>(0, state.now() - job.submittedMs) / 1000, job.queued,
+            job.spec.tasks, job.assigned, job.finished, job.failed);
+    if (job.epoch > 1)
+        text += fmt::format(" This is its assignment number {} to a zone.", job.epoch);
+    if (job.phase != ZoneJobPhase::Active)
+        text += fmt::format(" It starts nothing more ({}).", job.reason);
+    const Row* row = cell.table().findClass(job.spec.row);
+    if (!isConnected(now) && row && row->cutOff == CutOffRule::Stop)
+        text += fmt::format(" The zone is cut off from the cell and row '{}' says cutOff=stop, so nothing of it starts "
+                            "here until the cell answers again.",
+            row->name.value());
+    // Where the first tasks run.
+    size_t named = 0;
+    for (size_t task = 0; task < job.tasks.size() && named < 3; ++task) {
+        const TaskRecord& record = job.tasks[task];
+        if (record.phase != TaskPhase::Assigned)
+            continue;
+        ++named;
+        text += fmt::format(" Task {} is on worker {} since {} s ({} failures, {} losses before).", task,
+            state.workers()[record.worker].worker.value(), std::max<UnixMs>(0, state.now() - record.sinceMs) / 1000,
+            record.failures, record.losses);
+    }
+    return text;
+}
+
+Resources ZoneScheduler::freeCapacity() const { return m_impl->mirror.freeCapacity(); }
+
+const WorkerRegistry& ZoneScheduler::workers() const { return m_impl->registry; }
+
+} // namespace hickoryknot
--- a/src/state/StateFields.h
+++ b/src/state/StateFields.h
@@ -148,7 +148,7 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<AdmitCellJobs::Entry> auto& x)
 {
-    visit(x.job, x.epoch, x.cutOff, x.spec);
+    visit(x.job, x.epoch, x.cutOff, x.spec, x.submittedMs);
 }
 template <typename V> void visitFields(V& visit, SameAs<AdmitCellJobs> auto& x)
 {
--- a/src/state/ZoneCommand.h
+++ b/src/state/ZoneCommand.h
@@ -32,6 +32,8 @@
         uint64_t epoch { 0 };
         CutOffRule cutOff { CutOffRule::Stop };
         JobSpec spec {};
+        /// When the cell recorded it.
+        UnixMs submittedMs { 0 };
     };
     std::vector<Entry> entries {};
     /// Version of the table that gave the cut-off rules.
--- a/src/state/ZoneState.cpp
+++ b/src/state/ZoneState.cpp
@@ -222,7 +222,7 @@
             .spec = entry.spec,
             .epoch = entry.epoch,
             .cutOff = entry.cutOff,
-            .submittedMs = command.atMs });
+            .submittedMs = entry.submittedMs });
         done.epochs[i] = entry.epoch;
     }
     return done;
--- /dev/null
+++ b/tests/scheduler/FakeWorker.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "protocol/WorkerHeartbeat.h"
+#include "protocol/WorkerInstructions.h"
+
+namespace hickoryknot {
+
+/// A worker that follows start and stop commands and kills tasks whose leases run out by its own clock. It checks
+/// nothing else: old terms and answers to requests it has given up are followed too.
+class FakeWorker {
+public:
+    struct Task {
+        uint64_t epoch { 0 };
+        TimePoint leaseEnd;
+        TimePoint finishAt;
+        Resources resources;
+    };
+
+    WorkerId id;
+    ZoneId zone;
+    uint64_t incarnation { 1 };
+    Resources capacity { .millicores = Millicores(4000), .mebibytes = Mebibytes(4000), .accelerators = {} };
+    bool isPaused { false };
+    std::map<TaskId, Task> running;
+    std::function<Duration(const StartTask&)> runTime;
+    std::function<void(const StartTask&)> started;
+
+    WorkerHeartbeat heartbeat() const
+    {
+        WorkerHeartbeat heartbeat { .worker = id,
+            .incarnation = incarnation,
+            .zone = zone,
+            .rack = RackId("r1"),
+            .capacity = capacity,
+            .term = m_term,
+            .running = {},
+            .ended = m_ended,
+            .lastSequence = m_lastSequence };
+        for (const auto& [task, state] : running)
+            heartbeat.running.push_back({ .task = task, .epoch = state.epoch, .used = state.resources });
+        return heartbeat;
+    }
+
+    /// Follows an answer to a heartbeat that was sent at `sentAt` by an earlier or this process.
+    void follow(const WorkerInstructions& answer, uint64_t incarnationOfRequest, TimePoint sentAt, TimePoint now)
+    {
+        checkLeases(now);
+        if (incarnationOfRequest != incarnation || !answer.term)
+            return;
+        if (answer.term != m_term)
+            m_lastSequence = 0;
+        m_term = answer.term;
+        m_lastSequence = std::max(m_lastSequence, answer.sequence);
+        for (const auto& renewal : answer.renew) {
+            const auto at = running.find(renewal.task);
+            if (at != running.end() && at->second.epoch == renewal.epoch)
+                at->second.leaseEnd = std::max(at->second.leaseEnd, sentAt + renewal.lease);
+        }
+        for (const auto& task : answer.acknowledged)
+            std::erase_if(m_ended, [&](const EndedTask& ended) { return ended.task == task; });
+        for (const auto& stop : answer.stop)
+            stopTask(stop);
+        for (const auto& start : answer.start)
+            startTask(start, sentAt, now);
+    }
+
+    /// Kills tasks without a lease and ends those that are done.
+    void checkLeases(TimePoint now)
+    {
+        for (auto at = running.begin(); at != running.end();) {
+            const bool isKilled = at->second.leaseEnd <= now;
+            if (!isKilled && at->second.finishAt > now) {
+                ++at;
+                continue;
+            }
+            m_ended.push_back({ .task = at->first, .epoch = at->second.epoch, .exitCode = isKilled ? 137 : 0 });
+            at = running.erase(at);
+        }
+    }
+
+    void restart()
+    {
+        ++incarnation;
+        running.clear();
+        m_ended.clear();
+        m_term = 0;
+        m_lastSequence = 0;
+    }
+
+    Resources used() const
+    {
+        Resources sum;
+        for (const auto& [task, state] : running)
+            sum += state.resources;
+        return sum;
+    }
+
+private:
+    void startTask(const StartTask& start, TimePoint sentAt, TimePoint now)
+    {
+        const bool isKnown = running.contains(start.task);
+        if (isKnown || sentAt + start.lease <= now)
+            return;
+        running[start.task] = { .epoch = start.epoch,
+            .leaseEnd = sentAt + start.lease,
+            .finishAt = now + runTime(start),
+            .resources = start.resources };
+        started(start);
+    }
+
+    void stopTask(const StopTask& stop)
+    {
+        const auto at = running.find(stop.task);
+        if (at == running.end() || at->second.epoch != stop.epoch)
+            return;
+        m_ended.push_back({ .task = stop.task, .epoch = stop.epoch, .exitCode = 143 });
+        running.erase(at);
+    }
+
+    uint64_t m_term { 0 };
+    uint64_t m_lastSequence { 0 };
+    std::vector<EndedTask> m_ended;
+};
+
+} // namespace hickoryknot
