Guard zone releases by the zone's epoch

Cause: a repeated ReleaseZone could take effect after the zone had regained its lease, and move running jobs. Change: the command names the epoch it ends. Incarnations are compared within one disk only, so that a host with an emptied disk is recorded again.

--- a/src/scheduler/CellController.cpp
+++ b/src/scheduler/CellController.cpp
@@ -227,7 +227,7 @@
         const HostRecord* record = state.findHost(host);
         const bool isRecorded = record && record->zone == view.zone && record->storeId == view.storeId
             && record->incarnation == view.incarnation;
-        const bool isOld = record && view.incarnation < record->incarnation;
+        const bool isOld = record && view.storeId == record->storeId && view.incarnation < record->incarnation;
         if (!isRecorded && !isOld)
             propose(batch, "host " + host.value(),
                 RecordHost { .host = host,
--- a/src/state/CellCommand.h
+++ b/src/state/CellCommand.h
@@ -20,8 +20,8 @@
     UnixMs atMs { 0 };
 };
 
-/// A host joined, restarted or came with another disk. Result: CommandDone, or Conflict if the incarnation is older
-/// than the recorded one.
+/// A host joined, restarted or came with another disk. Result: CommandDone, or Conflict if the incarnation of the same
+/// disk is older than the recorded one.
 struct RecordHost {
     HostId host {};
     ZoneId zone {};
@@ -80,9 +80,11 @@
 };
 
 /// The zone's lease with its drift has passed: raises the zone's epoch; jobs there with cutOff=stop are queued again;
-/// jobs that are not repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone.
+/// jobs that are not repeatable end as unknown. Jobs with cutOff=keep are skipped. Result: BatchDone, or Conflict if
+/// the zone's epoch is another one, so that a repeated command cannot take jobs away under a new lease.
 struct ReleaseZone {
     ZoneId zone {};
+    uint64_t epoch { 0 };
     UnixMs atMs { 0 };
 };
 
--- a/src/state/CellState.cpp
+++ b/src/state/CellState.cpp
@@ -174,11 +174,11 @@
 {
     advanceTo(command.atMs);
     const HostRecord* known = findHost(command.host);
-    if (known && command.incarnation < known->incarnation)
+    if (known && command.storeId == known->storeId && command.incarnation < known->incarnation)
         return conflict(fmt::format("host {} is recorded with incarnation {}, which is newer than {}",
             command.host.value(), known->incarnation, command.incarnation));
     // What a host's earlier process had started without outcome may have run.
-    if (known && command.incarnation > known->incarnation)
+    if (known && (command.incarnation != known->incarnation || command.storeId != known->storeId))
         m_data.requests.abandon(command.host, m_data.nowMs);
     m_data.hosts.insert_or_assign(command.host,
         HostRecord { .host = command.host,
@@ -299,8 +299,10 @@
 {
     advanceTo(command.atMs);
     BatchDone done;
-    if (const auto zone = m_data.zones.find(command.zone); zone != m_data.zones.end())
-        ++zone->second.epoch;
+    const auto zone = m_data.zones.find(command.zone);
+    if (zone == m_data.zones.end() || zone->second.epoch != command.epoch)
+        return conflict(fmt::format("zone {} is not at epoch {}", command.zone.value(), command.epoch));
+    ++zone->second.epoch;
     const auto jobs = jobsOfZone(command.zone);
     for (const uint32_t number : jobs) {
         CellJob& job = m_data.jobs.at(number);
--- a/src/state/StateFields.h
+++ b/src/state/StateFields.h
@@ -132,7 +132,7 @@
     visit(x.job, x.epoch, x.canNeverRun, x.reason);
 }
 template <typename V> void visitFields(V& visit, SameAs<ReturnCellJobs> auto& x) { visit(x.entries, x.atMs); }
-template <typename V> void visitFields(V& visit, SameAs<ReleaseZone> auto& x) { visit(x.zone, x.atMs); }
+template <typename V> void visitFields(V& visit, SameAs<ReleaseZone> auto& x) { visit(x.zone, x.epoch, x.atMs); }
 template <typename V> void visitFields(V& visit, SameAs<FinishCellJobs::Entry> auto& x)
 {
     visit(x.job, x.epoch, x.outcome);
