--- a/src/state/StateFields.h
+++ b/src/state/StateFields.h
@@ -132,7 +132,7 @@
     visit(x.job, x.epoch, x.canNeverRun, x.reason);
 }
 template <typename V> void visitFields(V& visit, SameAs<ReturnCellJobs> auto& x) { visit(x.entries, x.atMs); }
-template <typename V> void visitFields(V& visit, SameAs<ReleaseZone> auto& x) { visit(x.zone, x.atMs); }
+template <typename V> void visitFields(V& visit, SameAs<ReleaseZone> auto& x) { visit(x.zone, x.epoch, x.atMs); }
 template <typename V> void visitFields(V& visit, SameAs<FinishCellJobs::Entry> auto& x)
 {
     visit(x.job, x.epoch, x.outcome);
@@ -148,7 +148,7 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<AdmitCellJobs::Entry> auto& x)
 {
-    visit(x.job, x.epoch, x.cutOff, x.spec);
+    visit(x.job, x.epoch, x.cutOff, x.spec, x.submittedMs);
 }
 template <typename V> void visitFields(V& visit, SameAs<AdmitCellJobs> auto& x)
 {
