--- a/src/routing/SlotShares.h
+++ b/src/routing/SlotShares.h
@@ -25,7 +25,7 @@
     uint32_t driftPercent { 1 };
     Duration driftReserve { 50ms };
     /// A new granter gives nothing for this long. Missing: authority and lease of its predecessor, plus drift.
-    std::optional<Duration> handoverWait;
+    std::optional<Duration> handoverWait {};
     /// Shares follow demand at most this often.
     Duration rebalanceInterval { 500ms };
 };
