--- /dev/null
+++ b/tests/routing/RoutingPartsTest.cpp
@@ -0,0 +1,165 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+#include "routing/AdmissionQueue.h"
+#include "routing/FailureScore.h"
+#include "routing/FairTurns.h"
+#include "routing/RequestTable.h"
+#include "routing/RetryBudget.h"
+
+namespace hickoryknot {
+
+class RoutingPartsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RoutingPartsTest);
+    CPPUNIT_TEST(retriesStayWithinTheirPercentage);
+    CPPUNIT_TEST(turnsFollowWeightsAndCosts);
+    CPPUNIT_TEST(lowPriorityIsNotStarved);
+    CPPUNIT_TEST(idleRowSavesNoTurns);
+    CPPUNIT_TEST(probationEndsAfterSuccesses);
+    CPPUNIT_TEST(occasionalFailuresStartNoProbation);
+    CPPUNIT_TEST(droppedEntriesAreSkippedAndCleared);
+    CPPUNIT_TEST(ticketsAreNotReused);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against retries that multiply the load of failing servers.
+    void retriesStayWithinTheirPercentage()
+    {
+        RetryBudget budget(10);
+        int retries = 0;
+        for (int i = 0; i < 10000; ++i) {
+            budget.recordFirstAttempt();
+            retries += budget.tryTake() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries >= 1000 && retries <= 1003);
+
+        // A long quiet time must not save up a flood.
+        for (int i = 0; i < 100000; ++i)
+            budget.recordFirstAttempt();
+        int burst = 0;
+        while (budget.tryTake())
+            ++burst;
+        CPPUNIT_ASSERT_EQUAL(50, burst);
+    }
+
+    // Guards against a row of long requests taking more server time than its weight.
+    void turnsFollowWeightsAndCosts()
+    {
+        FairTurns turns(8);
+        turns.setRow(0, 100, 50);
+        turns.setRow(1, 300, 50);
+        const std::vector<uint32_t> rows { 0, 1 };
+        Duration time[2] {};
+        for (int i = 0; i < 8000; ++i) {
+            const uint32_t row = turns.pick(rows).value();
+            const Duration cost = row ? 5ms : 20ms;
+            turns.charge(row, cost);
+            time[row] += cost;
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, static_cast<double>(time[1].count()) / time[0].count(), 0.05);
+    }
+
+    // Guards against rows that never get a turn beside a busy row of higher priority.
+    void lowPriorityIsNotStarved()
+    {
+        FairTurns turns(8);
+        turns.setRow(0, 100, 90);
+        turns.setRow(1, 100, 10);
+        turns.setRow(2, 100, 0);
+        const std::vector<uint32_t> rows { 0, 1, 2 };
+        int served[3] {};
+        for (int i = 0; i < 1600; ++i) {
+            const uint32_t row = turns.pick(rows).value();
+            turns.charge(row, 1ms);
+            ++served[row];
+        }
+        CPPUNIT_ASSERT_EQUAL(1400, served[0]);
+        CPPUNIT_ASSERT_EQUAL(100, served[1]);
+        CPPUNIT_ASSERT_EQUAL(100, served[2]);
+    }
+
+    // Guards against a row that was idle for long blocking the others when it comes back.
+    void idleRowSavesNoTurns()
+    {
+        FairTurns turns(8);
+        turns.setRow(0, 100, 50);
+        turns.setRow(1, 100, 50);
+        for (int i = 0; i < 1000; ++i)
+            turns.charge(0, 1ms);
+        turns.rowBecameBusy(1);
+        const std::vector<uint32_t> rows { 0, 1 };
+        int served = 0;
+        for (int i = 0; i < 100; ++i) {
+            const uint32_t row = turns.pick(rows).value();
+            turns.charge(row, 1ms);
+            served += row == 1 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(served >= 49 && served <= 52);
+    }
+
+    // Guards against servers that stay excluded after they were repaired.
+    void probationEndsAfterSuccesses()
+    {
+        FailureScore score;
+        TimePoint now(100s);
+        for (int i = 0; i < 4; ++i)
+            score.recordFailure(1, now);
+        CPPUNIT_ASSERT(score.isOnProbation());
+        CPPUNIT_ASSERT(score.nextProbe() > now && score.nextProbe() <= now + 2s);
+        for (int i = 0; i < 100; ++i)
+            score.recordFailure(1, now);
+        CPPUNIT_ASSERT(score.nextProbe() == now + 2s);
+        for (int i = 0; i < 7; ++i)
+            score.recordSuccess();
+        CPPUNIT_ASSERT(!score.isOnProbation());
+    }
+
+    // Guards against taking good servers out of use for the odd failure.
+    void occasionalFailuresStartNoProbation()
+    {
+        FailureScore score;
+        for (int i = 0; i < 1000; ++i) {
+            if (i % 5)
+                score.recordSuccess();
+            else
+                score.recordFailure(1, TimePoint(100s));
+            CPPUNIT_ASSERT(!score.isOnProbation());
+        }
+    }
+
+    // Guards against queues that grow while requests leave early, and against serving those.
+    void droppedEntriesAreSkippedAndCleared()
+    {
+        AdmissionQueue queue;
+        std::set<Ticket> waiting;
+        const auto isWaiting = [&](Ticket ticket) { return waiting.contains(ticket); };
+        for (uint64_t i = 1; i <= 1000; ++i) {
+            const auto ticket = static_cast<Ticket>(i);
+            waiting.insert(ticket);
+            queue.pushBack(ticket, isWaiting);
+            if (i % 10) {
+                waiting.erase(ticket);
+                queue.drop();
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(uint32_t(100), queue.size());
+        for (uint64_t i = 10; i <= 1000; i += 10)
+            CPPUNIT_ASSERT(queue.pop(isWaiting) == static_cast<Ticket>(i));
+        CPPUNIT_ASSERT(!queue.pop(isWaiting));
+    }
+
+    // Guards against an event of an ended request reaching a newer one.
+    void ticketsAreNotReused()
+    {
+        RequestTable table;
+        const Ticket first = table.add().ticket;
+        table.remove(*table.find(first));
+        const Ticket second = table.add().ticket;
+        CPPUNIT_ASSERT(first != second);
+        CPPUNIT_ASSERT(!table.find(first) && table.find(second));
+        CPPUNIT_ASSERT(!table.find(static_cast<Ticket>(77)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingPartsTest);
+
+} // namespace hickoryknot
--- a/tests/routing/SlotSharesTest.cpp
+++ b/tests/routing/SlotSharesTest.cpp
@@ -289,6 +289,7 @@
     CPPUNIT_TEST(requestsInProgressKeepTheirSlots);
     CPPUNIT_TEST(staleGrantsAndAsksAreRefused);
     CPPUNIT_TEST(restartedServerStartsWithoutGrants);
+    CPPUNIT_TEST(slowClockOfAHolderIsAllowedFor);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against overloaded servers under pauses, lost and late messages, drift, restarts and elections.
@@ -429,6 +430,28 @@
         CPPUNIT_ASSERT(other.adopt(*shares.answer(other.makeAsk(servers, {}, 1, now), now), now));
         CPPUNIT_ASSERT_EQUAL(uint32_t(4), other.shares(servers)[0].leased.slots);
     }
+
+    // Guards against giving a share away while a host whose clock is 1% slow still counts its lease as running.
+    void slowClockOfAHolderIsAllowedFor()
+    {
+        const std::vector servers { makeServer("a", 8, 60) };
+        SlotShares shares({ .seats = 0, .handoverWait = Duration(0) });
+        shares.setServers(servers);
+        const TimePoint granted(100s);
+        shares.becomeGranter(1, granted);
+        shares.renewAuthority(granted + 2s);
+        SlotLease slow({ .host = HostId("h0"), .incarnation = 1, .seat = 0, .seats = 0 });
+        CPPUNIT_ASSERT(slow.adopt(*shares.answer(slow.makeAsk(servers, {}, 1, granted), granted), granted));
+
+        SlotLease other({ .host = HostId("h1"), .incarnation = 1, .seat = 1, .seats = 0 });
+        const auto grantedAfter = [&](Duration duration) {
+            const auto grant = shares.answer(other.makeAsk(servers, {}, 1, granted), granted + duration);
+            return grant && !grant->servers.empty();
+        };
+        CPPUNIT_ASSERT(granted + 2020ms * 99 / 100 < slow.leasedUntil());
+        CPPUNIT_ASSERT(!grantedAfter(2020ms));
+        CPPUNIT_ASSERT(grantedAfter(2070ms));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlotSharesTest);
