--- a/src/report/BurnReport.h
+++ b/src/report/BurnReport.h
@@ -13,11 +13,11 @@
 namespace hickoryknot {
 
 struct BurnSettings {
-    /// Share of starts that must keep the row's targetWait.
+    /// Share of starts that must keep the row's targetWait; below 1. The rest is the budget of late starts.
     double objective { 0.99 };
 };
 
-/// One row over one window.
+/// One row over one window that ends now.
 struct BurnWindow {
     const char* name { "" };
     uint32_t minutes { 0 };
@@ -33,14 +33,15 @@
 struct BurnRow {
     RowName row;
     Duration targetWait { 0 };
-    std::array<BurnWindow, 4> windows; // 5 min, 1 h, 6 h, 24 h
+    /// 5 min, 1 h, 6 h, 24 h.
+    std::array<BurnWindow, 4> windows {};
     /// Time until the 24 hour budget is used up at the last hour's rate; zero when it already is, empty when it lasts.
-    std::optional<Duration> exhaustedIn;
+    std::optional<Duration> exhaustedIn {};
     std::array<uint64_t, BurnBuckets::waitBuckets> waits {};
     /// Burn rate of each of the last 24 hours, oldest first.
     std::array<double, 24> hourlyBurn {};
     /// Plain words for people.
-    std::string summary;
+    std::string summary {};
 };
 
 /// How the waiting times before start compare with the targets of the table, for one host or a whole cell. Text, JSON
@@ -56,6 +57,9 @@
     static BurnReport make(const BurnBuckets&, const BurnSettings&, std::vector<HostId> answered,
         std::vector<HostId> missing, WallTime now);
 
+    /// Which hosts the sums cover, as a sentence.
+    std::string coverage() const;
+
     std::string text() const;
     std::string json() const;
     /// One page without external references.
--- a/src/report/Metrics.h
+++ b/src/report/Metrics.h
@@ -3,10 +3,10 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "core/Time.h"
+#include "report/MetricFamily.h"
 
 namespace hickoryknot {
 
@@ -15,16 +15,14 @@
 enum class GaugeId : uint32_t {};
 enum class LatencyId : uint32_t {};
 
-/// Label names and values of one series, for example {{"row", "lookup"}}.
-using MetricLabels = std::vector<std::pair<std::string, std::string>>;
-
 struct MetricsSettings {
-    /// Series of all kinds; later ones share the one series `hickoryknot_overflow` of their kind.
+    /// Series of all kinds; later ones share the series `hickoryknot_overflow...` of their kind.
     size_t maxSeries { 4096 };
 };
 
 /// Counters, gauges and latency histograms with bounded memory. Not thread safe: each thread records into its own and
-/// hands copies to the reporting thread, which merges them.
+/// hands copies to the reporting thread, which merges them. Names must match [a-zA-Z_][a-zA-Z0-9_]*, and a name has one
+/// kind only.
 class Metrics {
 public:
     explicit Metrics(MetricsSettings = {});
@@ -32,7 +30,7 @@
     Metrics(const Metrics&);
     Metrics& operator=(const Metrics&);
 
-    /// Registers a series, or finds it again. Names follow Prometheus: letters, digits and underscores.
+    /// Registers a series, or finds it again.
     CounterId counter(const std::string& name, const std::string& help, const MetricLabels& = {});
     GaugeId gauge(const std::string& name, const std::string& help, const MetricLabels& = {});
     LatencyId latency(const std::string& name, const std::string& help, const MetricLabels& = {});
@@ -45,18 +43,20 @@
     uint64_t value(CounterId) const;
     double value(GaugeId) const;
     uint64_t count(LatencyId) const;
-    /// Upper bound of the bucket that holds the quantile `q` in 0..1; zero without records.
+    /// Upper bound of the bucket that holds the quantile `q` in 0..1; zero without records, Duration::max() above 100
+    /// s.
     Duration quantile(LatencyId, double q) const;
 
-    /// Adds counters and histograms of another instance; its gauges replace gauges of the same series.
+    /// Adds counters and latencies of another instance; its gauges replace gauges of the same series.
     void merge(const Metrics&);
 
     /// Registrations beyond the limit of series.
     uint64_t droppedSeries() const;
 
-private:
-    friend std::string renderPrometheus(const Metrics&);
+    /// All series, families ordered by name and samples by labels.
+    std::vector<MetricFamily> families() const;
 
+private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
 };
