--- /dev/null
+++ b/src/app/LatencyHistogram.cpp
@@ -0,0 +1,55 @@
+#include "app/LatencyHistogram.h"
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <cmath>
+
+namespace hickoryknot {
+
+namespace histogram = boost::histogram;
+
+namespace {
+
+using LogAxis = histogram::axis::regular<double, histogram::axis::transform::log>;
+
+/// 20.7 natural logarithms lie between 1 us and 1,000 s; a bin spans 0.01.
+constexpr unsigned binCount = 2072;
+
+} // namespace
+
+struct LatencyHistogram::Impl {
+    using Histogram = decltype(histogram::make_histogram(LogAxis()));
+
+    Histogram bins = histogram::make_histogram(LogAxis(binCount, 1.0, 1e9));
+};
+
+LatencyHistogram::LatencyHistogram()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+LatencyHistogram::~LatencyHistogram() = default;
+LatencyHistogram::LatencyHistogram(LatencyHistogram&&) noexcept = default;
+
+void LatencyHistogram::add(Duration latency)
+{
+    m_impl->bins(static_cast<double>(latency.count()));
+    ++m_count;
+}
+
+Duration LatencyHistogram::quantile(double share) const
+{
+    const double wanted = share * static_cast<double>(m_count);
+    const auto& axis = m_impl->bins.axis();
+    double seen = 0;
+    // Bin -1 holds what is below the range and bin `binCount` what is above.
+    for (int bin = -1; m_count > 0 && bin < static_cast<int>(binCount); ++bin) {
+        seen += m_impl->bins.at(bin);
+        if (seen >= wanted && seen > 0)
+            return Duration(std::llround(axis.value(bin + 1)));
+    }
+    return Duration(m_count > 0 ? std::llround(axis.value(binCount)) : 0);
+}
+
+} // namespace hickoryknot
--- a/src/protocol/DecodeMessage.h
+++ b/src/protocol/DecodeMessage.h
@@ -5,11 +5,11 @@
 
 #include "core/Error.h"
 #include "core/Time.h"
+#include "protocol/JsonDocument.h"
+#include "protocol/ObjectReader.h"
 
 namespace hickoryknot {
 
-class ObjectReader;
-
 /// Parses one message, lets `read` take its fields and refuses what is left over.
 Expected<void> readMessage(std::string_view text, size_t maxBytes, const std::function<void(ObjectReader&)>& read);
 
--- a/src/protocol/PeerMessage.h
+++ b/src/protocol/PeerMessage.h
@@ -34,8 +34,6 @@
     std::vector<ServerHeartbeat> servers;
     /// Table version whose cut-off rules the zone has recorded for its jobs; meaningful while `leadsZone`.
     uint64_t zoneCutOffVersion { 0 };
-    /// Slots that the host's requests use or wait for, over all rows.
-    uint32_t slotDemand { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/protocol/PeerMessageCodec.cpp
+++ b/src/protocol/PeerMessageCodec.cpp
@@ -34,7 +34,7 @@
         { "zoneTerm", message.zoneTerm }, { "draining", message.isDraining }, { "address", message.address },
         { "port", message.port }, { "freeMillicores", message.free.millicores.count() },
         { "freeMebibytes", message.free.mebibytes.count() }, { "freeAccelerators", message.free.accelerators.count() },
-        { "servers", std::move(servers) }, { "slotDemand", message.slotDemand } });
+        { "servers", std::move(servers) }, { "zoneCutOffVersion", message.zoneCutOffVersion } });
 }
 
 Expected<PeerMessage> decodePeerMessage(std::string_view text)
@@ -53,7 +53,7 @@
             .port = static_cast<uint16_t>(reader.whole("port", 1, UINT16_MAX)),
             .free = reader.resources("freeMillicores", "freeMebibytes", "freeAccelerators", maxWorkersPerSum),
             .servers = readServers(reader),
-            .slotDemand = static_cast<uint32_t>(reader.whole("slotDemand", 0, UINT32_MAX)) };
+            .zoneCutOffVersion = reader.whole("zoneCutOffVersion", 0, maxCounter) };
     });
 }
 
--- a/src/protocol/PeerReply.h
+++ b/src/protocol/PeerReply.h
@@ -2,24 +2,12 @@
 
 #include <cstdint>
 #include <optional>
-#include <vector>
 
 #include "core/Ids.h"
 #include "core/Time.h"
 
 namespace hickoryknot {
 
-/// One entry host's share of a backend server.
-struct SlotGrant {
-    ServerId server;
-    uint32_t slots { 0 };
-    uint32_t connections { 0 };
-    /// Counted by the receiver from the moment it sent the peer message.
-    Duration lease { 0 };
-
-    friend bool operator==(const SlotGrant&, const SlotGrant&) = default;
-};
-
 /// Answer to a PeerMessage.
 struct PeerReply {
     HostId host;
@@ -36,7 +24,6 @@
     /// Table lease granted by the cell leader, counted by the receiver from the moment it sent the peer message; 0
     /// means none.
     Duration tableLease { 0 };
-    std::vector<SlotGrant> slotGrants;
 
     friend bool operator==(const PeerReply&, const PeerReply&) = default;
 };
--- a/src/protocol/WorkerHeartbeatCodec.cpp
+++ b/src/protocol/WorkerHeartbeatCodec.cpp
@@ -59,7 +59,7 @@
         { "millicores", message.capacity.millicores.count() }, { "mebibytes", message.capacity.mebibytes.count() },
         { "accelerators", message.capacity.accelerators.count() }, { "term", message.term },
         { "running", std::move(running) }, { "ended", std::move(ended) }, { "leaving", message.isLeaving },
-        { "waitMs", toMilliseconds(message.wait) } });
+        { "waitMs", toMilliseconds(message.wait) }, { "lastSequence", message.lastSequence } });
 }
 
 Expected<WorkerHeartbeat> decodeWorkerHeartbeat(std::string_view text)
@@ -74,7 +74,8 @@
             .running = readRunning(reader),
             .ended = readEnded(reader),
             .isLeaving = reader.flag("leaving"),
-            .wait = reader.milliseconds("waitMs", maxHeartbeatWait) };
+            .wait = reader.milliseconds("waitMs", maxHeartbeatWait),
+            .lastSequence = reader.wholeOr("lastSequence", 0, maxCounter, 0) };
     });
 }
 
--- a/src/protocol/WorkerInstructionsCodec.cpp
+++ b/src/protocol/WorkerInstructionsCodec.cpp
@@ -71,8 +71,8 @@
     json acknowledged = json::array();
     for (const auto& task : message.acknowledged)
         acknowledged.push_back(task.value());
-    return writeDocument({ { "term", message.term }, { "start", std::move(start) }, { "stop", std::move(stop) },
-        { "renew", std::move(renew) }, { "ack", std::move(acknowledged) } });
+    return writeDocument({ { "term", message.term }, { "sequence", message.sequence }, { "start", std::move(start) },
+        { "stop", std::move(stop) }, { "renew", std::move(renew) }, { "ack", std::move(acknowledged) } });
 }
 
 Expected<WorkerInstructions> decodeWorkerInstructions(std::string_view text)
@@ -82,7 +82,8 @@
             .start = readStart(reader),
             .stop = readStop(reader),
             .renew = readRenew(reader),
-            .acknowledged = reader.ids<TaskId>("ack") };
+            .acknowledged = reader.ids<TaskId>("ack"),
+            .sequence = reader.whole("sequence", 0, maxCounter) };
     });
 }
 
--- a/src/routing/ZoneExchangeCodec.cpp
+++ b/src/routing/ZoneExchangeCodec.cpp
@@ -1,5 +1,7 @@
 #include "routing/ZoneExchangeCodec.h"
 
+#include <nlohmann/json.hpp>
+
 #include "protocol/DecodeMessage.h"
 #include "protocol/ServerHeartbeatFields.h"
 #include "routing/ZoneExchange.h"
--- a/tests/standin/Worker.cpp
+++ b/tests/standin/Worker.cpp
@@ -111,7 +111,8 @@
         .running = {},
         .ended = {},
         .isLeaving = m_isLeaving,
-        .wait = m_settings.wait };
+        .wait = m_settings.wait,
+        .lastSequence = m_sequence };
     const auto lie
         = [this](int64_t truth) { return static_cast<int64_t>(static_cast<double>(truth) * m_settings.lieFactor); };
     for (const auto& [id, task] : m_running) {
@@ -133,6 +134,7 @@
     if (instructions.term < m_term)
         return;
     m_term = instructions.term;
+    m_sequence = instructions.sequence;
     for (const auto& id : instructions.acknowledged)
         m_ended.erase(id);
     for (const auto& stop : instructions.stop) {
--- a/tests/standin/Worker.h
+++ b/tests/standin/Worker.h
@@ -76,6 +76,7 @@
 
     uint64_t m_incarnation { 0 };
     uint64_t m_term { 0 };
+    uint64_t m_sequence { 0 };
     std::map<TaskId, Task> m_running;
     std::map<TaskId, EndedTask> m_ended;
     bool m_isLeaving { false };
