--- a/src/app/PeerService.cpp
+++ b/src/app/PeerService.cpp
@@ -73,6 +73,8 @@
     message.leadsZone = leadsZone;
     message.zoneTerm = m_context.zoneGroup->group().term();
     message.zoneCutOffVersion = m_context.zone.cutOffVersion();
+    if (const auto* record = m_context.cell.findZone(settings.zone))
+        message.zoneEpoch = record->epoch;
     message.isDraining = m_context.isDraining;
     const auto own = m_context.directory.find(settings.host);
     const Endpoint endpoint = own == m_context.directory.end() ? settings.listen : own->second.endpoint;
--- a/src/protocol/PeerMessage.h
+++ b/src/protocol/PeerMessage.h
@@ -24,14 +24,14 @@
     uint64_t zoneTerm { 0 };
     /// Table version whose cut-off rules the zone has recorded for its jobs; meaningful while `leadsZone`.
     uint64_t zoneCutOffVersion { 0 };
+    /// Epoch of the zone in the host's copy of the cell state; meaningful while `leadsZone`.
+    uint64_t zoneEpoch { 0 };
     bool isDraining { false };
     /// Numeric IP address and port at which the host serves.
     std::string address;
     uint16_t port { 0 };
     /// Free capacity of the zone; meaningful while `leadsZone`.
     Resources free;
-    /// Epoch of the zone in the host's copy of the cell state; meaningful while `leadsZone`.
-    uint64_t zoneEpoch { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/protocol/PeerMessageCodec.cpp
+++ b/src/protocol/PeerMessageCodec.cpp
@@ -17,6 +17,7 @@
         { "incarnation", message.incarnation }, { "zone", message.zone.value() }, { "sequence", message.sequence },
         { "appliedTableVersion", message.appliedTableVersion }, { "leadsZone", message.leadsZone },
         { "zoneTerm", message.zoneTerm }, { "zoneCutOffVersion", message.zoneCutOffVersion },
+        { "zoneEpoch", message.zoneEpoch },
         { "draining", message.isDraining }, { "address", message.address }, { "port", message.port },
         { "freeMillicores", message.free.millicores.count() }, { "freeMebibytes", message.free.mebibytes.count() },
         { "freeAccelerators", message.free.accelerators.count() } });
@@ -34,6 +35,7 @@
             .leadsZone = reader.flag("leadsZone"),
             .zoneTerm = reader.whole("zoneTerm", 0, maxCounter),
             .zoneCutOffVersion = reader.whole("zoneCutOffVersion", 0, maxCounter),
+            .zoneEpoch = reader.whole("zoneEpoch", 0, maxCounter),
             .isDraining = reader.flag("draining"),
             .address = reader.numericAddress("address"),
             .port = static_cast<uint16_t>(reader.whole("port", 1, UINT16_MAX)),
