Test the placement engine

Cause: decisions need proof against overcommit, doubled tasks, half-started gangs, starvation and allocations. Three faults found by them are fixed: an urgent gang that fitted beside its own holds was started with the holds left over; held tasks could exceed queued ones after an adoption; and the reason of a spread task was not spelled out.

--- a/src/placement/Choice.h
+++ b/src/placement/Choice.h
@@ -9,7 +9,7 @@
     WorkerIndex worker { noIndex };
     /// Static text.
     const char* reason { "" };
-    /// Fitting workers that were compared.
+    /// Fitting workers (racks when spreading) that were compared; 0 if the reason alone decided.
     uint32_t compared { 0 };
     /// Tasks of the same job in the worker's rack.
     uint32_t othersInRack { 0 };
--- a/src/placement/DecisionLoop.cpp
+++ b/src/placement/DecisionLoop.cpp
@@ -318,7 +318,7 @@
             continue;
         m_readyProbes.erase(m_readyProbes.begin() + static_cast<std::ptrdiff_t>(i));
         ++m_state.statistics.probeTasks;
-        return { worker, "probe of a worker that failed its tasks", 1, 0 };
+        return { worker, "probe of a worker that failed its tasks", 0, 0 };
     }
     return {};
 }
@@ -345,9 +345,11 @@
     const std::vector<Hold>& places = m_reservations.findFreePlaces(record);
     if (!places.empty()) {
         ++m_state.statistics.startedGangs;
+        // An urgent gang may hold a part of the capacity already; the places were found beside that.
+        m_reservations.dropJob(job, m_now);
         for (const Hold& hold : places) {
             for (uint32_t i = 0; i < hold.tasks; ++i)
-                place(job, { hold.worker, "all tasks of the gang fit at once", 1, 0 });
+                place(job, { hold.worker, "all tasks of the gang fit at once", 0, 0 });
         }
         return true;
     }
--- a/src/placement/Explanation.cpp
+++ b/src/placement/Explanation.cpp
@@ -109,7 +109,7 @@
 {
     const std::string& row = m_row.row.name.value();
     const bool spreads = m_job.kind == JobKind::Service || m_row.row.placement == PlacementStyle::Spread;
-    if (run.comparedWorkers <= 1)
+    if (!run.comparedWorkers)
         return run.reason;
     if (spreads) {
         const std::string cause = m_job.kind == JobKind::Service ? "services are always spread over racks"
--- a/src/placement/FirstFitChooser.h
+++ b/src/placement/FirstFitChooser.h
@@ -11,7 +11,7 @@
     {
         for (WorkerIndex worker = 0; worker < state.workers.size(); ++worker) {
             if (state.workers.fits(worker, job.perTask))
-                return { worker, "first fit", 1, 0 };
+                return { worker, "first fit", 0, 0 };
         }
         return {};
     }
--- a/src/placement/PackChooser.cpp
+++ b/src/placement/PackChooser.cpp
@@ -45,7 +45,7 @@
     });
     // The worker of the last failure is better than none.
     if (!best.isFound() && isAvoidedFit)
-        return { job.avoidedWorker, "only fit", 1, 0 };
+        return { job.avoidedWorker, "the only worker with room", 0, 0 };
     return best;
 }
 
--- a/src/placement/PlacementEngine.cpp
+++ b/src/placement/PlacementEngine.cpp
@@ -197,6 +197,7 @@
     if (job == noIndex || taskIndex >= state.jobs[job].tasks() || state.jobs[job].taskRuns[taskIndex] != noIndex)
         return;
     m_impl->ledger.adopt(job, taskIndex, state.workers.intern(id), startedAt);
+    m_impl->reservations.dropExcess(job, state.latestTime);
     // A gang of which only a part was started begins anew; the last adopted member makes it whole.
     JobRecord& record = state.jobs[job];
     const bool isPart = record.kind == JobKind::Gang && !record.queuedTasks.empty();
--- a/src/placement/PlacementSettings.h
+++ b/src/placement/PlacementSettings.h
@@ -38,7 +38,7 @@
     Duration refusalGrace { 10s };
     /// A repeatable batch task that failed this often through no fault of its worker is not tried again.
     uint32_t maxTaskFailures { 4 };
-    PlacementMechanisms mechanisms;
+    PlacementMechanisms mechanisms {};
 };
 
 } // namespace hickoryknot
--- a/src/placement/ReservationBook.cpp
+++ b/src/placement/ReservationBook.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/Assert.h"
+
 namespace hickoryknot {
 
 namespace {
@@ -319,9 +321,10 @@
 RunIndex ReservationBook::startOne(JobIndex job, WorkerIndex worker, const char* reason, TimePoint now)
 {
     JobRecord& record = m_state.jobs[job];
+    HICKORYKNOT_ASSERT(!record.queuedTasks.empty(), "more tasks are held than queued");
     const uint32_t task = record.queuedTasks.back();
     record.waitedFor = WaitCause::Reservation;
-    m_ledger.start(job, { worker, reason, 1, 0 }, now);
+    m_ledger.start(job, { worker, reason, 0, 0 }, now);
     return record.taskRuns[task];
 }
 
@@ -337,7 +340,7 @@
         for (const Hold& hold : reservation.holds) {
             const WorkerRecord& worker = m_state.workers[hold.worker];
             if (worker.isOpen() && end <= worker.holdDue && job.perTask.fitsInto(worker.free))
-                return { hold.worker, "expected to end before reserved capacity is needed", looks + 1, 0 };
+                return { hold.worker, "expected to end before reserved capacity is needed", 0, 0 };
             if (++looks == maxLentWorkers)
                 return {};
         }
@@ -362,6 +365,12 @@
     }
 }
 
+void ReservationBook::dropExcess(JobIndex job, TimePoint now)
+{
+    if (m_state.jobs[job].heldTasks > m_state.jobs[job].queuedTasks.size())
+        dropJob(job, now);
+}
+
 void ReservationBook::dropWorker(WorkerIndex worker, TimePoint now)
 {
     if (m_state.workers[worker].held == Resources {})
--- a/src/placement/ReservationBook.h
+++ b/src/placement/ReservationBook.h
@@ -28,6 +28,8 @@
 
     /// Gives up the reservation of a job, if any.
     void dropJob(JobIndex, TimePoint now);
+    /// Gives up the reservation of a job that has fewer queued tasks than are held.
+    void dropExcess(JobIndex, TimePoint now);
     /// Gives up reservations that count on a worker.
     void dropWorker(WorkerIndex, TimePoint now);
     const Reservation* find(JobIndex) const;
--- a/src/placement/TaskEndings.cpp
+++ b/src/placement/TaskEndings.cpp
@@ -27,6 +27,7 @@
             record.isBroken = false;
             std::erase(m_state.brokenGangs, job);
         }
+        m_reservations.dropExcess(job, now);
         m_ledger.requeue(job, now);
         return;
     }
--- a/src/placement/TaskLedger.cpp
+++ b/src/placement/TaskLedger.cpp
@@ -7,6 +7,7 @@
 void TaskLedger::start(JobIndex job, const Choice& choice, TimePoint now)
 {
     JobRecord& record = m_state.jobs[job];
+    HICKORYKNOT_ASSERT(!record.queuedTasks.empty(), "a job without queued tasks is started");
     HICKORYKNOT_ASSERT(record.perTask.fitsInto(m_state.workers[choice.worker].free), "a worker is overcommitted");
     const uint32_t task = record.queuedTasks.back();
     record.queuedTasks.pop_back();
--- /dev/null
+++ b/tests/placement/FailureTest.cpp
@@ -0,0 +1,188 @@
+#include "EngineDriver.h"
+
+namespace hickoryknot {
+
+class FailureTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(FailureTest);
+    CPPUNIT_TEST(workerThatFailsEverythingGetsOneProbeAtATime);
+    CPPUNIT_TEST(provenWorkerServesAgain);
+    CPPUNIT_TEST(failingJobDoesNotSpoilWorkers);
+    CPPUNIT_TEST(failingJobBacksOffAndGivesUp);
+    CPPUNIT_TEST(triedAgainOnAnotherWorker);
+    CPPUNIT_TEST(reservationSurvivesLossOfItsWorker);
+    CPPUNIT_TEST(cancelledJobIsNotQueuedAgain);
+    CPPUNIT_TEST(wrongDeclaredSizesNeverOvercommit);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Driver = EngineDriver;
+
+    // Starts tasks of distinct jobs on the bad worker and fails them until it is on probation; returns the failures.
+    static uint32_t spoil(Driver& driver)
+    {
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorker("bad", Driver::resources(4, 32));
+        uint32_t failures = 0;
+        while (!driver.engine.isOnProbation(WorkerId("bad")) && failures < 20) {
+            const JobHandle job = driver.submit(driver.job("batch", 1, Driver::resources(1, 1)));
+            driver.decide();
+            driver.now += 1s;
+            driver.end({ job.slot, 0 }, TaskEnd::Failed);
+            driver.engine.cancelJob(job);
+            ++failures;
+        }
+        return failures;
+    }
+
+    // Guards against a worker that swallows the queue by failing fast.
+    void workerThatFailsEverythingGetsOneProbeAtATime()
+    {
+        Driver driver;
+        CPPUNIT_ASSERT(spoil(driver) <= 5);
+        driver.submit(driver.job("batch", 50, Driver::resources(1, 1)));
+        CPPUNIT_ASSERT(driver.decide().empty());
+        uint32_t probes = 0;
+        for (int second = 0; second < 120; ++second) {
+            driver.now += 1s;
+            probes += static_cast<uint32_t>(driver.decide().size());
+            CPPUNIT_ASSERT(driver.running.size() <= 1);
+            if (!driver.running.empty())
+                driver.end(driver.running.begin()->first, TaskEnd::Failed);
+        }
+        // The wait doubles from 1 s to 60 s.
+        CPPUNIT_ASSERT(probes >= 1 && probes <= 8);
+    }
+
+    // Guards against a repaired worker that never gets work again.
+    void provenWorkerServesAgain()
+    {
+        Driver driver;
+        spoil(driver);
+        driver.submit(driver.job("batch", 50, Driver::resources(1, 1)));
+        for (int second = 0; second < 20 && driver.engine.isOnProbation(WorkerId("bad")); ++second) {
+            driver.now += 1s;
+            driver.decide();
+            if (!driver.running.empty())
+                driver.end(driver.running.begin()->first, TaskEnd::Finished);
+        }
+        CPPUNIT_ASSERT(!driver.engine.isOnProbation(WorkerId("bad")));
+        driver.decide();
+        CPPUNIT_ASSERT_EQUAL(size_t { 4 }, driver.running.size());
+    }
+
+    // Guards against good workers on probation because of one bad job.
+    void failingJobDoesNotSpoilWorkers()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(10, Driver::resources(4, 32));
+        driver.submit(driver.job("batch", 200, Driver::resources(1, 1)));
+        for (int round = 0; round < 100; ++round) {
+            driver.decide();
+            driver.now += 5s;
+            while (!driver.running.empty())
+                driver.end(driver.running.begin()->first, TaskEnd::Failed);
+        }
+        for (uint32_t i = 0; i < 10; ++i)
+            CPPUNIT_ASSERT(!driver.engine.isOnProbation(WorkerId("w" + std::to_string(i))));
+    }
+
+    // Guards against a job that fails for ever at full speed.
+    void failingJobBacksOffAndGivesUp()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(10, Driver::resources(4, 32));
+        const JobHandle job = driver.submit(driver.job("batch", 1, Driver::resources(1, 1)));
+        std::vector<Duration> waits;
+        TimePoint failedAt = driver.now;
+        for (int step = 0; step < 200 && !driver.engine.progress(job).isOver(); ++step) {
+            if (!driver.decide().empty()) {
+                waits.push_back(driver.now - failedAt);
+                driver.end({ job.slot, 0 }, TaskEnd::Failed);
+                failedAt = driver.now;
+                if (waits.size() == 3)
+                    assertContains(driver.explain(job), { "failed 2 times in a row", "the next try waits another" });
+            }
+            driver.now += 100ms;
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t { 4 }, waits.size());
+        CPPUNIT_ASSERT(waits[2] >= 750ms && waits[2] <= 1400ms);
+        CPPUNIT_ASSERT(waits[3] >= 1500ms && waits[3] <= 2700ms);
+        CPPUNIT_ASSERT_EQUAL(1U, driver.engine.progress(job).failed);
+    }
+
+    // Guards against a retry on the worker that may be the cause.
+    void triedAgainOnAnotherWorker()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(2, Driver::resources(4, 32));
+        driver.submit(driver.job("batch", 1, Driver::resources(1, 1)));
+        const WorkerId first = driver.decide().at(0).worker;
+        driver.end(driver.running.begin()->first, TaskEnd::Failed);
+        CPPUNIT_ASSERT(driver.decide().at(0).worker != first);
+    }
+
+    // Guards against a gang that waits for ever for a worker that is gone.
+    void reservationSurvivesLossOfItsWorker()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(3, Driver::resources(4, 32));
+        const JobHandle filler = driver.submit(driver.job("batch", 3, Driver::resources(4, 1)));
+        driver.decide();
+        auto description = driver.job("batch", 2, Driver::resources(4, 1));
+        description.kind = JobKind::Gang;
+        const JobHandle gang = driver.submit(description);
+        driver.decide();
+        const std::string lost = driver.running[{ filler.slot, 0 }].worker;
+        driver.end({ filler.slot, 0 }, TaskEnd::Lost);
+        driver.engine.removeWorker(WorkerId(lost));
+        driver.now += 300ms;
+        driver.decide();
+        for (uint32_t task = 1; task < 3; ++task)
+            driver.end({ filler.slot, task }, TaskEnd::Finished);
+        driver.now += 300ms;
+        driver.decide();
+        CPPUNIT_ASSERT_EQUAL(2U, driver.runningOf(gang));
+    }
+
+    // Guards against work that comes back after its caller gave it up.
+    void cancelledJobIsNotQueuedAgain()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(1, Driver::resources(2, 32));
+        const JobHandle job = driver.submit(driver.job("batch", 5, Driver::resources(1, 1)));
+        driver.decide();
+        driver.engine.cancelJob(job);
+        driver.end({ job.slot, 0 }, TaskEnd::Lost);
+        driver.end({ job.slot, 1 }, TaskEnd::Failed);
+        driver.now += 600s;
+        CPPUNIT_ASSERT(driver.decide().empty());
+        CPPUNIT_ASSERT(driver.engine.progress(job).isOver());
+        driver.engine.removeJob(job);
+        CPPUNIT_ASSERT(driver.engine.explain(job, driver.now, {}).find("not known") != std::string::npos);
+    }
+
+    // Guards against learned sizes that loosen the declared limit.
+    void wrongDeclaredSizesNeverOvercommit()
+    {
+        Driver driver;
+        driver.engine.setTable({ Driver::row("batch") });
+        driver.addWorkers(1, Driver::resources(4, 32));
+        const JobHandle job = driver.submit(driver.job("batch", 50, Driver::resources(2, 1), 1s));
+        for (int round = 0; round < 10; ++round) {
+            driver.decide();
+            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, driver.running.size());
+            const auto key = driver.running.begin()->first;
+            driver.engine.usageReported(job, key.second, Driver::resources(0, 0), driver.now);
+            driver.now += 50s;
+            driver.end(key, TaskEnd::Finished);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailureTest);
+
+} // namespace hickoryknot
