--- a/src/protocol/PeerMessageCodec.cpp
+++ b/src/protocol/PeerMessageCodec.cpp
@@ -17,9 +17,9 @@
         { "incarnation", message.incarnation }, { "zone", message.zone.value() }, { "sequence", message.sequence },
         { "appliedTableVersion", message.appliedTableVersion }, { "leadsZone", message.leadsZone },
         { "zoneTerm", message.zoneTerm }, { "zoneCutOffVersion", message.zoneCutOffVersion },
-        { "zoneEpoch", message.zoneEpoch },
-        { "draining", message.isDraining }, { "address", message.address }, { "port", message.port },
-        { "freeMillicores", message.free.millicores.count() }, { "freeMebibytes", message.free.mebibytes.count() },
+        { "zoneEpoch", message.zoneEpoch }, { "draining", message.isDraining }, { "address", message.address },
+        { "port", message.port }, { "freeMillicores", message.free.millicores.count() },
+        { "freeMebibytes", message.free.mebibytes.count() },
         { "freeAccelerators", message.free.accelerators.count() } });
 }
 
--- a/src/protocol/WorkerHeartbeatCodec.cpp
+++ b/src/protocol/WorkerHeartbeatCodec.cpp
@@ -71,12 +71,11 @@
             .rack = reader.id<RackId>("rack"),
             .capacity = reader.resources("millicores", "mebibytes", "accelerators"),
             .term = reader.whole("term", 0, maxCounter),
-            .lastSequence = reader.whole("lastSequence", 0, maxCounter),
+            .lastSequence = reader.wholeOr("lastSequence", 0, maxCounter, 0),
             .running = readRunning(reader),
             .ended = readEnded(reader),
             .isLeaving = reader.flag("leaving"),
-            .wait = reader.milliseconds("waitMs", maxHeartbeatWait),
-            .lastSequence = reader.wholeOr("lastSequence", 0, maxCounter, 0) };
+            .wait = reader.milliseconds("waitMs", maxHeartbeatWait) };
     });
 }
 
--- a/src/protocol/WorkerInstructionsCodec.cpp
+++ b/src/protocol/WorkerInstructionsCodec.cpp
@@ -83,8 +83,7 @@
             .start = readStart(reader),
             .stop = readStop(reader),
             .renew = readRenew(reader),
-            .acknowledged = reader.ids<TaskId>("ack"),
-            .sequence = reader.whole("sequence", 0, maxCounter) };
+            .acknowledged = reader.ids<TaskId>("ack") };
     });
 }
 
--- a/tests/standin/Worker.cpp
+++ b/tests/standin/Worker.cpp
@@ -108,11 +108,11 @@
         .rack = m_settings.rack,
         .capacity = m_settings.capacity,
         .term = m_term,
+        .lastSequence = m_sequence,
         .running = {},
         .ended = {},
         .isLeaving = m_isLeaving,
-        .wait = m_settings.wait,
-        .lastSequence = m_sequence };
+        .wait = m_settings.wait };
     const auto lie
         = [this](int64_t truth) { return static_cast<int64_t>(static_cast<double>(truth) * m_settings.lieFactor); };
     for (const auto& [id, task] : m_running) {
