Test the replicated log with scenarios and random schedules

Cause: the promises of the log must hold under crashes, cut links and bad disks. Faults found by them and mended here: a lagging voter without a member list accepted the vote of an emptied one (the first store seen of a host now counts); two emptied hosts could form the group again; a failed disk held back messages for ever; a pre-candidate in a lower term never learned of the higher one; replay refused entries replaced across a removed segment. Ruled out: the reply to identity checks from the leader alone, since a group that restarts as a whole has none.

--- a/src/consensus/EvidenceTable.cpp
+++ b/src/consensus/EvidenceTable.cpp
@@ -52,6 +52,12 @@
     return known && known->identity.incarnation > identity.incarnation;
 }
 
+bool EvidenceTable::knowsOtherStore(const HostId& host, StoreId store) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+        [&](const auto& entry) { return entry.host == host && entry.identity.store != store; });
+}
+
 void EvidenceTable::prune(const Membership& membership)
 {
     std::erase_if(m_entries, [&](const IdentityEvidence& entry) {
--- a/src/consensus/EvidenceTable.h
+++ b/src/consensus/EvidenceTable.h
@@ -26,6 +26,9 @@
     /// True if a newer run of the same store is known.
     bool isSuperseded(const HostId&, const StoreIdentity&) const;
 
+    /// True if another store of that host is known.
+    bool knowsOtherStore(const HostId&, StoreId) const;
+
     /// Forgets hosts that are not members and stores other than the configured ones.
     void prune(const Membership&);
 
--- a/src/consensus/LogMessage.cpp
+++ b/src/consensus/LogMessage.cpp
@@ -80,8 +80,8 @@
 
 json encodeBody(const SnapshotChunk& body)
 {
-    return { body.index, body.indexTerm, binary(encodeMembership(body.members)), body.totalBytes, body.offset,
-        binary(body.data), body.round };
+    return { body.index, body.indexTerm, binary(encodeMembership(body.members)), body.totalBytes, body.checksum,
+        body.offset, binary(body.data), body.round };
 }
 
 json encodeBody(const SnapshotResponse& body) { return { body.index, body.receivedBytes, body.round }; }
@@ -90,8 +90,7 @@
 
 json encodeBody(const IdentityCheck& body) { return { body.storedTerm, body.storedIndex }; }
 
-// The explicit array keeps the two fields from being read as one key and value.
-json encodeBody(const IdentityVerdict& body) { return json::array({ encode(body.subject), body.isOutdated }); }
+json encodeBody(const IdentityVerdict& body) { return { encode(body.subject), body.isOutdated, body.isGroupFormed }; }
 
 LogMessageBody decodeVoteRequest(const json& value)
 {
@@ -155,9 +154,10 @@
         .indexTerm = value.at(1).get<Term>(),
         .members = decodeMembers(value.at(2)),
         .totalBytes = value.at(3).get<uint64_t>(),
-        .offset = value.at(4).get<uint64_t>(),
-        .data = bytesOf(value.at(5)),
-        .round = value.at(6).get<uint64_t>() };
+        .checksum = value.at(4).get<uint64_t>(),
+        .offset = value.at(5).get<uint64_t>(),
+        .data = bytesOf(value.at(6)),
+        .round = value.at(7).get<uint64_t>() };
 }
 
 LogMessageBody decodeSnapshotResponse(const json& value)
@@ -176,7 +176,9 @@
 
 LogMessageBody decodeIdentityVerdict(const json& value)
 {
-    return IdentityVerdict { .subject = decodeIdentity(value.at(0)), .isOutdated = value.at(1).get<bool>() };
+    return IdentityVerdict { .subject = decodeIdentity(value.at(0)),
+        .isOutdated = value.at(1).get<bool>(),
+        .isGroupFormed = value.at(2).get<bool>() };
 }
 
 // In the order of the alternatives of LogMessageBody.
@@ -184,6 +186,27 @@
     decodeSnapshotChunk, decodeSnapshotResponse, decodeTimeoutNow, decodeIdentityCheck, decodeIdentityVerdict };
 static_assert(bodyDecoders.size() == std::variant_size_v<LogMessageBody>);
 
+// Stops at deeper nesting than any message has; the library's parser recurses for each level.
+class NestingLimit final : public json::json_sax_t {
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(size_t) override { return false; }
+    bool key(string_t&) override { return false; }
+    bool end_object() override { return false; }
+    bool start_array(size_t) override { return ++m_depth <= 8; }
+    bool end_array() override { return m_depth--; }
+    bool parse_error(size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+private:
+    size_t m_depth { 0 };
+};
+
 } // namespace
 
 std::string encodeLogMessage(const LogMessage& message)
@@ -198,6 +221,9 @@
 
 Expected<LogMessage> decodeLogMessage(std::string_view bytes)
 {
+    NestingLimit limit;
+    if (!json::sax_parse(bytes, &limit, json::input_format_t::cbor))
+        return makeError(ErrorCode::InvalidArgument, "the log message is not well-formed CBOR of arrays");
     try {
         const json value = json::from_cbor(bytes);
         const auto kind = value.at(5).get<size_t>();
--- a/src/consensus/LogMessage.h
+++ b/src/consensus/LogMessage.h
@@ -63,6 +63,7 @@
     Term indexTerm { 0 };
     Membership members;
     uint64_t totalBytes { 0 };
+    uint64_t checksum { 0 }; // XXH3 over the whole snapshot.
     uint64_t offset { 0 };
     std::string data;
     uint64_t round { 0 };
@@ -93,7 +94,8 @@
 
 struct IdentityVerdict {
     StoreIdentity subject; // The identity that asked.
-    bool isOutdated { false };
+    bool isOutdated { false }; // Later acknowledgements of the subject are known.
+    bool isGroupFormed { false }; // The sender's log has entries: a host without any must not form the group again.
 
     friend bool operator==(const IdentityVerdict&, const IdentityVerdict&) = default;
 };
--- a/src/consensus/PeerProgress.h
+++ b/src/consensus/PeerProgress.h
@@ -28,6 +28,7 @@
     bool isWaiting { false }; // Probe or chunk under way.
     uint64_t appendsInFlight { 0 };
     std::optional<Snapshot> snapshot; // Being sent.
+    uint64_t snapshotChecksum { 0 };
     uint64_t snapshotOffset { 0 };
     uint64_t answeredRound { 0 }; // The latest round that was answered.
     TimePoint answeredSendTime; // When the message of that round was sent.
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -57,17 +57,19 @@
     m_persistedIndex = m_log.lastIndex();
     rebuildMembership();
     resetElectionTimeout(now);
-    const bool isRestarted = !recovered.wasEmpty && m_settings.identity.store != StoreId::None;
+    const bool isRestarted = !recovered.wasEmpty;
     recovered = {};
-    if (!isRestarted)
+    if (m_settings.identity.store == StoreId::None)
         return;
     // What this run knows of its past is only what the disk holds; the others may know more.
     m_identityState = IdentityState::Unconfirmed;
     m_identityCheck = { .storedTerm = m_term, .storedIndex = m_log.lastIndex() };
-    m_restartTerm = m_term;
-    m_voteRefusalEnd = now + m_settings.timings.electionMin;
     m_identityGraceEnd = now + m_settings.timings.identityWait;
     m_identityResendDue = now;
+    if (isRestarted) {
+        m_restartTerm = m_term;
+        m_voteRefusalEnd = now + m_settings.timings.electionMin;
+    }
     evaluateIdentity(now);
 }
 
@@ -190,10 +192,12 @@
 {
     // Without a store id, nothing this host says from now on counts as the voter it was.
     m_settings.identity.store = StoreId::None;
+    becomeFollower(m_term, m_role == Role::Leader ? HostId() : m_leader, now);
     std::erase_if(m_outbox, [&](const PendingMessage& pending) { return pending.sequence > m_persistedSequence; });
+    // What follows promises nothing durable, so it must not wait for the failed write.
+    persisted(m_takenSequence, now);
     m_identityState = IdentityState::Confirmed;
     m_isRenewalWanted = false;
-    becomeFollower(m_term, m_role == Role::Leader ? HostId() : m_leader, now);
 }
 
 std::vector<OutgoingMessage> ReplicatedLog::takeMessages()
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -116,7 +116,7 @@
 
 private:
     enum class IdentityState {
-        Unconfirmed, // Restarted; the others have not yet said whether the disk is up to date.
+        Unconfirmed, // Started; the others have not yet said whether the disk is up to date.
         Confirmed,
         Outdated,
     };
@@ -139,6 +139,8 @@
     void evaluateIdentity(TimePoint now);
     void handle(const IdentityCheck&, const LogMessage&, TimePoint now);
     void handle(const IdentityVerdict&, const LogMessage&, TimePoint now);
+    bool isKnownIdentity(const HostId&, StoreId) const;
+    bool isCountedVoter(const HostId&, StoreId) const;
     void noteEvidence(const HostId&, const StoreIdentity&, Term, LogIndex);
 
     // Elections (ReplicatedLogElection.cpp).
@@ -196,6 +198,7 @@
     bool hasUnwritten() const;
     void send(const HostId&, LogMessageBody, uint64_t afterSequence);
     bool maySendPromises() const;
+    bool mustWaitForLeader() const;
     TimePoint quorumSendTime(TimePoint now) const;
     // The highest value that a majority of the voters has reached; own is this host's.
     template <typename Value, typename ValueOf> Value quorumValue(Value own, Value missing, ValueOf) const;
@@ -241,9 +244,10 @@
     TimePoint m_voteRefusalEnd; // A restarted voter may have promised a leader its patience.
     TimePoint m_electionDue;
 
-    // Right to vote after a restart.
+    // Right to vote after a start.
     IdentityState m_identityState { IdentityState::Confirmed };
     IdentityCheck m_identityCheck;
+    bool m_isFormationDenied { false }; // Others have a log, this host has none: it does not lead.
     TimePoint m_identityGraceEnd;
     TimePoint m_identityResendDue;
     std::set<HostId> m_identityAnswers;
@@ -277,7 +281,7 @@
         if (member.host == m_settings.self)
             values.push_back(m_membership.isVoter(member.host, m_settings.identity.store) ? own : missing);
         else if (peer != m_peers.end() && peer->second.isVoting
-            && m_membership.isVoter(member.host, peer->second.identity.store))
+            && isCountedVoter(member.host, peer->second.identity.store))
             values.push_back(valueOf(peer->second));
     }
     if (values.size() < m_membership.quorum())
--- a/src/consensus/ReplicatedLogElection.cpp
+++ b/src/consensus/ReplicatedLogElection.cpp
@@ -77,12 +77,13 @@
 
 bool ReplicatedLog::isAcceptableCandidate(const VoteRequest& request, const LogMessage& message) const
 {
-    // A host unknown here may be a new voter; a known one must have the configured store.
-    const Member* member = m_membership.find(message.from);
-    const bool hasOtherStore = member && member->store != StoreId::None && member->store != message.identity.store;
+    // A host that is no voter here may have become one; a voter must have the known store.
+    const bool isKnown = isKnownIdentity(message.from, message.identity.store);
     const bool isUpToDate
         = std::tuple(request.lastTerm, request.lastIndex) >= std::tuple(m_log.lastTerm(), m_log.lastIndex());
-    return maySendPromises() && !hasOtherStore && message.identity.store != StoreId::None && isUpToDate;
+    // Two hosts with emptied disks must not form the group again beside those that have its log.
+    const bool hasLog = request.lastIndex || !mustWaitForLeader();
+    return maySendPromises() && hasLog && isKnown && message.identity.store != StoreId::None && isUpToDate;
 }
 
 void ReplicatedLog::handle(const VoteRequest& request, const LogMessage& message, TimePoint now)
@@ -94,7 +95,8 @@
         send(message.from, response, m_hardStateSequence);
         return;
     }
-    noteEvidence(message.from, message.identity, request.term, 0);
+    if (isKnownIdentity(message.from, message.identity.store))
+        noteEvidence(message.from, message.identity, request.term, 0);
     const bool isRepeated = m_votedFor == message.from;
     // In the term found on the disk a vote may have been given that the disk does not show.
     const bool isFree = m_votedFor.isEmpty() && m_restartTerm != m_term;
@@ -108,9 +110,14 @@
 
 void ReplicatedLog::handle(const VoteResponse& response, const LogMessage& message, TimePoint now)
 {
+    // A voter in a higher term grants nothing below it; without its term this host could ask in vain forever.
+    if (response.isPreVote && m_role == Role::PreCandidate && message.term > m_term) {
+        becomeFollower(message.term, HostId(), now);
+        return;
+    }
     const Role role = response.isPreVote ? Role::PreCandidate : Role::Candidate;
     const Term term = response.isPreVote ? m_term + 1 : m_term;
-    const bool isVoter = m_membership.isVoter(message.from, message.identity.store);
+    const bool isVoter = isCountedVoter(message.from, message.identity.store);
     if (!response.isGranted || m_role != role || response.term != term || !isVoter)
         return;
     if (!response.isPreVote)
--- a/src/consensus/ReplicatedLogIdentity.cpp
+++ b/src/consensus/ReplicatedLogIdentity.cpp
@@ -7,9 +7,12 @@
     return m_settings.identity.store != StoreId::None && m_identityState == IdentityState::Confirmed;
 }
 
+bool ReplicatedLog::mustWaitForLeader() const { return m_isFormationDenied && !m_log.lastIndex(); }
+
 bool ReplicatedLog::mayVote() const
 {
-    return maySendPromises() && m_membership.isVoter(m_settings.self, m_settings.identity.store);
+    return maySendPromises() && !mustWaitForLeader()
+        && m_membership.isVoter(m_settings.self, m_settings.identity.store);
 }
 
 void ReplicatedLog::sendIdentityChecks(TimePoint now)
@@ -38,16 +41,15 @@
         m_identityState = IdentityState::Confirmed;
 }
 
-void ReplicatedLog::handle(const IdentityCheck& check, const LogMessage& message, TimePoint now)
+void ReplicatedLog::handle(const IdentityCheck& check, const LogMessage& message, TimePoint)
 {
     const bool isOutdated = m_evidence.isOutdated(message.from, message.identity, check);
-    if (!isOutdated) {
-        if (m_evidence.merge({ message.from, message.identity, check.storedTerm, check.storedIndex })) {
-            m_isEvidenceChanged = true;
-            m_evidenceWriteDue = now + m_settings.timings.heartbeat;
-        }
-    }
-    send(message.from, IdentityVerdict { .subject = message.identity, .isOutdated = isOutdated }, 0);
+    if (!isOutdated && isKnownIdentity(message.from, message.identity.store))
+        noteEvidence(message.from, message.identity, check.storedTerm, check.storedIndex);
+    send(message.from,
+        IdentityVerdict {
+            .subject = message.identity, .isOutdated = isOutdated, .isGroupFormed = m_log.lastIndex() > 0 },
+        0);
 }
 
 void ReplicatedLog::handle(const IdentityVerdict& verdict, const LogMessage& message, TimePoint now)
@@ -59,14 +61,31 @@
         m_isRenewalWanted = true;
         return;
     }
+    const bool hasNothing = !m_identityCheck.storedTerm && !m_identityCheck.storedIndex;
+    if (hasNothing && verdict.isGroupFormed)
+        m_isFormationDenied = true;
     // The word of a voter with a new store is worth nothing: it has forgotten what it saw.
     const Member* member = m_membership.find(message.from);
-    if (!member || (member->isVoter && !m_membership.isVoter(message.from, message.identity.store)))
+    if (!member || (member->isVoter && !isCountedVoter(message.from, message.identity.store)))
         return;
     m_identityAnswers.insert(message.from);
     evaluateIdentity(now);
 }
 
+// The configured store, or as long as none is configured, the first that was seen.
+bool ReplicatedLog::isKnownIdentity(const HostId& host, StoreId store) const
+{
+    const Member* member = m_membership.find(host);
+    if (member && member->isVoter && member->store != StoreId::None)
+        return member->store == store;
+    return !member || !member->isVoter || !m_evidence.knowsOtherStore(host, store);
+}
+
+bool ReplicatedLog::isCountedVoter(const HostId& host, StoreId store) const
+{
+    return m_membership.isVoter(host, store) && isKnownIdentity(host, store);
+}
+
 void ReplicatedLog::noteEvidence(const HostId& host, const StoreIdentity& identity, Term term, LogIndex index)
 {
     if (!m_evidence.merge({ host, identity, term, index }))
--- a/src/consensus/ReplicatedLogMembers.cpp
+++ b/src/consensus/ReplicatedLogMembers.cpp
@@ -136,9 +136,8 @@
         return;
     for (const auto& member : m_membership.members()) {
         const auto peer = m_peers.find(member.host);
-        const bool isBoundVoter = member.isVoter && member.store != StoreId::None;
-        if (!isBoundVoter || peer == m_peers.end() || !peer->second.hasAnswered
-            || peer->second.identity.store == member.store)
+        if (!member.isVoter || peer == m_peers.end() || !peer->second.hasAnswered
+            || isKnownIdentity(member.host, peer->second.identity.store))
             continue;
         Membership changed = m_membership;
         changed.set({ .host = member.host, .isVoterWanted = true });
@@ -159,7 +158,8 @@
         const auto peer = m_peers.find(member.host);
         if (member.host == m_settings.self)
             member.store = m_settings.identity.store;
-        else if (peer != m_peers.end() && peer->second.isVoting)
+        else if (peer != m_peers.end() && peer->second.isVoting
+            && isKnownIdentity(member.host, peer->second.identity.store))
             member.store = peer->second.identity.store;
         changed.set(member);
     }
@@ -196,7 +196,7 @@
     if (m_role != Role::Leader)
         return notLeader();
     const auto peer = m_peers.find(host);
-    if (peer == m_peers.end() || !m_membership.isVoter(host, peer->second.identity.store))
+    if (peer == m_peers.end() || !isCountedVoter(host, peer->second.identity.store))
         return makeError(ErrorCode::InvalidArgument, host.value() + " is no other voter of " + m_settings.group);
     if (!peer->second.isVoting)
         return makeError(ErrorCode::Unavailable, host.value() + " has not confirmed its right to vote yet");
--- a/src/consensus/ReplicatedLogReplication.cpp
+++ b/src/consensus/ReplicatedLogReplication.cpp
@@ -1,5 +1,7 @@
 #include "consensus/ReplicatedLog.h"
 
+#include <xxhash.h>
+
 #include "core/Assert.h"
 
 namespace hickoryknot {
@@ -8,6 +10,8 @@
 
 constexpr uint64_t maxAppendsInFlight = 64; // Covers 16 MiB of entries per round trip at the default batch size.
 
+uint64_t checksumOf(const std::string& data) { return XXH3_64bits(data.data(), data.size()); }
+
 } // namespace
 
 // ---- Leader ----
@@ -75,6 +79,7 @@
         HICKORYKNOT_ASSERT(m_log.snapshot(), "entries are only dropped below a snapshot");
         peer.mode = PeerProgress::Mode::Snapshot;
         peer.snapshot = m_log.snapshot();
+        peer.snapshotChecksum = checksumOf(*peer.snapshot->data);
         peer.snapshotOffset = 0;
         peer.isWaiting = false;
     }
@@ -106,7 +111,7 @@
     if (peer.appendsInFlight < maxAppendsInFlight)
         request.entries = m_log.slice(peer.next, m_settings.batchBytes);
     // So that the others can recognise an older disk without this host; its own progress with each message.
-    if (peer.mustSend)
+    if (peer.mustSend || request.entries.empty())
         request.evidence = m_evidence.entries();
     if (maySendPromises())
         request.evidence.push_back({ m_settings.self, m_settings.identity, m_term, m_persistedIndex });
@@ -130,6 +135,7 @@
             .indexTerm = snapshot.term,
             .members = std::move(*members),
             .totalBytes = snapshot.data->size(),
+            .checksum = peer.snapshotChecksum,
             .offset = peer.snapshotOffset,
             .data = snapshot.data->substr(peer.snapshotOffset, m_settings.batchBytes),
             .round = m_round },
@@ -168,7 +174,7 @@
         handleRejection(*peer, response);
         return;
     }
-    if (response.isVoting)
+    if (response.isVoting && isKnownIdentity(message.from, message.identity.store))
         noteEvidence(message.from, message.identity, m_term, response.matchIndex);
     peer->match = std::max(peer->match, response.matchIndex);
     peer->next = std::max(peer->next, peer->match + 1);
@@ -324,6 +330,10 @@
         send(message.from, response, m_hardStateSequence);
         return;
     }
+    if (checksumOf(m_incoming->data) != chunk.checksum) {
+        m_incoming.reset();
+        return;
+    }
     installSnapshot(chunk);
     acknowledge(message.from, chunk.index, chunk.round);
 }
--- a/src/log/RecordStore.cpp
+++ b/src/log/RecordStore.cpp
@@ -62,11 +62,13 @@
         return addEntry(std::move(*entry));
     }
 
-    // An entry replaces the one with its index and all after it.
+    // An entry replaces the one with its index and all after it. Without a restart record the beginning of the log
+    // has been compacted, and the first entries found may have been replaced by later ones with lower indices.
     Expected<void> addEntry(LogEntry entry)
     {
-        const LogIndex first = !entries.empty() ? entries.front().index : restart ? restart->first + 1 : entry.index;
-        if (entry.index < first || entry.index > first + entries.size())
+        const bool isFirst = entries.empty() || (!restart && entry.index < entries.front().index);
+        const LogIndex first = !isFirst ? entries.front().index : restart ? restart->first + 1 : entry.index;
+        if (entry.index < first || entry.index > first + (isFirst ? 0 : entries.size()))
             return makeError(ErrorCode::Corrupt, "the entry does not follow the one before it");
         entries.resize(entry.index - first);
         entries.push_back(std::move(entry));
@@ -343,7 +345,9 @@
 {
     const LogIndex keptFrom = m_snapshots.compactionIndex();
     while (m_segments.size() > 1 && m_segments.front().highestIndex <= keptFrom) {
-        if (auto removed = m_disk->remove(segmentName(m_segments.front().number)); !removed)
+        // Synced one by one: a later removal that lasts without an earlier one would look like a missing segment.
+        const std::string name = segmentName(m_segments.front().number);
+        if (auto removed = m_disk->remove(name).and_then([&] { return m_disk->syncFolder(); }); !removed)
             return removed;
         m_segments.erase(m_segments.begin());
     }
--- /dev/null
+++ b/tests/fakes/FakeLink.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+
+#include "core/Ids.h"
+#include "core/Time.h"
+
+namespace hickoryknot {
+
+/// Carries bytes between hosts with loss, delay, reordering and duplication; pairs of hosts can be cut in one or both
+/// directions.
+class FakeLink {
+public:
+    struct Parcel {
+        HostId from;
+        HostId to;
+        std::string bytes;
+    };
+
+    explicit FakeLink(uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    void send(TimePoint now, Parcel parcel);
+
+    /// The next parcel that is due; those on cut links are dropped.
+    std::optional<Parcel> take(TimePoint now);
+
+    void cutOneWay(const HostId& from, const HostId& to) { m_cut.emplace(from, to); }
+    void cut(const HostId& one, const HostId& other);
+    void healAll() { m_cut.clear(); }
+    bool isCut(const HostId& from, const HostId& to) const { return m_cut.contains({ from, to }); }
+
+    unsigned lossPerMille { 0 };
+    unsigned duplicatePerMille { 0 };
+    Duration minDelay { 1ms };
+    Duration maxDelay { 2ms };
+
+private:
+    std::multimap<TimePoint, Parcel> m_underWay;
+    std::set<std::pair<HostId, HostId>> m_cut;
+    pcg32 m_random;
+};
+
+} // namespace hickoryknot
