--- /dev/null
+++ b/tests/log/RecordStoreTest.cpp
@@ -0,0 +1,287 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fakes/FakeDisk.h"
+#include "log/RecordStore.h"
+
+namespace hickoryknot {
+
+class RecordStoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RecordStoreTest);
+    CPPUNIT_TEST(recoversWhatWasSynced);
+    CPPUNIT_TEST(replacesConflictingSuffix);
+    CPPUNIT_TEST(cutsTornBatchAtEveryLength);
+    CPPUNIT_TEST(refusesDamageInTheMiddle);
+    CPPUNIT_TEST(refusesMissingSegment);
+    CPPUNIT_TEST(refusesFolderOfAnotherHost);
+    CPPUNIT_TEST(acknowledgesNothingAfterFailure);
+    CPPUNIT_TEST(compactsBelowTheOlderSnapshot);
+    CPPUNIT_TEST(fallsBackToTheOlderSnapshot);
+    CPPUNIT_TEST(restartsLogAfterInstalledSnapshot);
+    CPPUNIT_TEST(survivesCrashAtAnyBatch);
+    CPPUNIT_TEST(showsOlderCopy);
+    CPPUNIT_TEST(renewsIdentity);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::shared_ptr<FakeFiles> m_files = std::make_shared<FakeFiles>(1);
+    uint64_t m_session { 100 };
+
+    Expected<std::unique_ptr<RecordStore>> tryOpen(const std::string& host = "a", const std::string& cell = "cell")
+    {
+        return RecordStore::open(std::make_unique<FakeDisk>(m_files),
+            { .cell = cell,
+                .group = "log",
+                .host = HostId(host),
+                .session = static_cast<SessionId>(++m_session),
+                .segmentBytes = 400 });
+    }
+
+    std::unique_ptr<RecordStore> open()
+    {
+        auto store = tryOpen();
+        CPPUNIT_ASSERT_MESSAGE(store ? "" : store.error().message, store.has_value());
+        return std::move(*store);
+    }
+
+    static WriteBatch batch(LogIndex first, LogIndex last, Term term, size_t bytes = 20)
+    {
+        WriteBatch batch;
+        batch.hardState = HardState { .term = term, .votedFor = HostId("b"), .evidence = {} };
+        for (LogIndex index = first; index <= last; ++index)
+            batch.entries.push_back({ .index = index, .term = term, .payload = std::string(bytes, 'x') });
+        return batch;
+    }
+
+    static Snapshot snapshotAt(LogIndex index, Term term)
+    {
+        return { .index = index,
+            .term = term,
+            .members = "members",
+            .data = std::make_shared<const std::string>("state at " + std::to_string(index)) };
+    }
+
+    std::string onlySegment()
+    {
+        const auto names = *FakeDisk(m_files).list();
+        const auto found
+            = std::find_if(names.begin(), names.end(), [](const auto& name) { return name.starts_with("segment-"); });
+        return *found;
+    }
+
+    void assertRefused(ErrorCode code, const std::string& wanted, const Expected<std::unique_ptr<RecordStore>>& store)
+    {
+        CPPUNIT_ASSERT(!store);
+        CPPUNIT_ASSERT_EQUAL(std::string(errorCodeName(code)), std::string(errorCodeName(store.error().code)));
+        CPPUNIT_ASSERT_MESSAGE(store.error().message, store.error().message.find(wanted) != std::string::npos);
+    }
+
+    // Guards against losing records, votes or evidence over a restart.
+    void recoversWhatWasSynced()
+    {
+        auto written = batch(1, 3, 7);
+        written.hardState->evidence
+            = { { HostId("b"), { static_cast<StoreId>(5), 2, static_cast<SessionId>(6) }, 7, 3 } };
+        CPPUNIT_ASSERT(open()->writeAndSync(written));
+        m_files->crash();
+        auto store = open();
+        const auto recovered = store->takeRecovered();
+        CPPUNIT_ASSERT(recovered.hardState == *written.hardState);
+        CPPUNIT_ASSERT(recovered.entries == written.entries);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(2), store->identity().incarnation);
+        CPPUNIT_ASSERT_EQUAL(LogIndex(3), store->lastIndex());
+    }
+
+    // Guards against replaced entries coming back after a restart.
+    void replacesConflictingSuffix()
+    {
+        auto store = open();
+        CPPUNIT_ASSERT(store->writeAndSync(batch(1, 30, 1)));
+        CPPUNIT_ASSERT(store->writeAndSync(batch(20, 21, 2)));
+        const auto recovered = open()->takeRecovered();
+        CPPUNIT_ASSERT_EQUAL(size_t(21), recovered.entries.size());
+        CPPUNIT_ASSERT_EQUAL(Term(2), recovered.entries.back().term);
+        CPPUNIT_ASSERT_EQUAL(Term(1), recovered.entries[18].term);
+    }
+
+    // Guards against a half-written batch being taken for damage, or for written.
+    void cutsTornBatchAtEveryLength()
+    {
+        CPPUNIT_ASSERT(open()->writeAndSync(batch(1, 2, 1)));
+        const std::string name = onlySegment();
+        const size_t kept = FakeDisk(m_files).read(name)->size();
+        CPPUNIT_ASSERT(open()->writeAndSync(batch(3, 4, 2)));
+        const auto whole = m_files->olderCopy(1);
+        for (size_t size = FakeDisk(whole).read(name)->size() - 1; size >= kept; --size) {
+            m_files = whole->olderCopy(1);
+            CPPUNIT_ASSERT(FakeDisk(m_files).truncate(name, size));
+            const auto recovered = open()->takeRecovered();
+            CPPUNIT_ASSERT_EQUAL(size_t(2), recovered.entries.size());
+            CPPUNIT_ASSERT_EQUAL(Term(1), recovered.hardState.term);
+            CPPUNIT_ASSERT_EQUAL(uint64_t(size - kept), recovered.cutBytes);
+            CPPUNIT_ASSERT(open()->writeAndSync(batch(3, 3, 3)));
+            CPPUNIT_ASSERT_EQUAL(size_t(3), open()->takeRecovered().entries.size());
+        }
+    }
+
+    // Guards against damage before the last batch being cut off like a torn tail.
+    void refusesDamageInTheMiddle()
+    {
+        auto store = open();
+        CPPUNIT_ASSERT(store->writeAndSync(batch(1, 2, 1)));
+        const size_t middle = FakeDisk(m_files).read(onlySegment())->size();
+        CPPUNIT_ASSERT(store->writeAndSync(batch(3, 3, 1)));
+        CPPUNIT_ASSERT(store->writeAndSync(batch(4, 4, 1)));
+        for (size_t offset = 0; offset < middle; offset += 7) {
+            m_files->damage(onlySegment(), offset);
+            assertRefused(ErrorCode::Corrupt, "offset", tryOpen());
+            m_files->damage(onlySegment(), offset);
+        }
+        // The refusals must not have changed the folder.
+        CPPUNIT_ASSERT_EQUAL(size_t(4), open()->takeRecovered().entries.size());
+    }
+
+    // Guards against a gap where a file was lost.
+    void refusesMissingSegment()
+    {
+        auto store = open();
+        for (LogIndex index = 1; index <= 30; ++index)
+            CPPUNIT_ASSERT(store->writeAndSync(batch(index, index, 1)));
+        CPPUNIT_ASSERT(FakeDisk(m_files).remove("segment-0000000000000002.log"));
+        assertRefused(ErrorCode::Corrupt, "segment-0000000000000002.log", tryOpen());
+    }
+
+    // Guards against a mixed-up data folder being used.
+    void refusesFolderOfAnotherHost()
+    {
+        CPPUNIT_ASSERT(open()->writeAndSync(batch(1, 1, 1)));
+        assertRefused(ErrorCode::Conflict, "belongs to cell/log/a", tryOpen("b"));
+        assertRefused(ErrorCode::Conflict, "belongs to cell/log/a", tryOpen("a", "other"));
+        m_files->damage("identity.json", 30);
+        assertRefused(ErrorCode::Corrupt, "identity.json", tryOpen());
+    }
+
+    // Guards against acknowledging after a failed sync, whose pages the system may have dropped.
+    void acknowledgesNothingAfterFailure()
+    {
+        for (bool FakeFiles::*fault : { &FakeFiles::isSyncFailing, &FakeFiles::isFull }) {
+            auto store = open();
+            (*m_files).*fault = true;
+            CPPUNIT_ASSERT(store->write(batch(1, 1, 1)).error.has_value());
+            (*m_files).*fault = false;
+            const auto later = store->writeAndSync(batch(1, 1, 1));
+            CPPUNIT_ASSERT(!later && later.error().code == ErrorCode::Storage);
+            CPPUNIT_ASSERT(store->failure().has_value());
+        }
+        CPPUNIT_ASSERT(open()->writeAndSync(batch(1, 1, 1)));
+    }
+
+    // Guards against a log that grows forever or loses what the older snapshot needs.
+    void compactsBelowTheOlderSnapshot()
+    {
+        auto store = open();
+        for (LogIndex index = 1; index <= 60; ++index) {
+            auto next = batch(index, index, 1);
+            if (index % 20 == 0)
+                next.snapshot = snapshotAt(index, 1);
+            CPPUNIT_ASSERT(store->writeAndSync(next));
+        }
+        CPPUNIT_ASSERT(onlySegment() > "segment-0000000000000003.log");
+        const auto recovered = open()->takeRecovered();
+        CPPUNIT_ASSERT_EQUAL(LogIndex(60), recovered.snapshot->index);
+        CPPUNIT_ASSERT_EQUAL(std::string("state at 60"), *recovered.snapshot->data);
+        CPPUNIT_ASSERT(recovered.entries.empty());
+    }
+
+    // Guards against one damaged snapshot file making a host unusable.
+    void fallsBackToTheOlderSnapshot()
+    {
+        compactsBelowTheOlderSnapshot();
+        m_files->damage("snapshot-00000000000000000060.snap", 60);
+        auto recovered = open()->takeRecovered();
+        CPPUNIT_ASSERT_EQUAL(LogIndex(40), recovered.snapshot->index);
+        CPPUNIT_ASSERT_EQUAL(size_t(20), recovered.entries.size());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), recovered.damagedSnapshots.size());
+        m_files->damage("snapshot-00000000000000000040.snap", 60);
+        assertRefused(ErrorCode::Corrupt, "later than the newest sound snapshot", tryOpen());
+    }
+
+    // Guards against old entries appearing after a snapshot from the leader.
+    void restartsLogAfterInstalledSnapshot()
+    {
+        auto store = open();
+        CPPUNIT_ASSERT(store->writeAndSync(batch(1, 9, 1)));
+        auto installed = batch(51, 52, 3);
+        installed.snapshot = snapshotAt(50, 2);
+        installed.isLogRestarted = true;
+        CPPUNIT_ASSERT(store->writeAndSync(installed));
+        const auto recovered = open()->takeRecovered();
+        CPPUNIT_ASSERT_EQUAL(LogIndex(50), recovered.snapshot->index);
+        CPPUNIT_ASSERT_EQUAL(LogIndex(51), recovered.entries.front().index);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), recovered.entries.size());
+    }
+
+    // Guards against any crash, also between snapshot and records, that loses synced data or makes the folder unusable.
+    void survivesCrashAtAnyBatch()
+    {
+        for (uint64_t seed = 0; seed < 300; ++seed) {
+            m_files = std::make_shared<FakeFiles>(seed);
+            pcg32 random(seed);
+            LogIndex synced = 0;
+            for (int round = 0; round < 6; ++round) {
+                auto store = open();
+                const auto recovered = store->takeRecovered();
+                CPPUNIT_ASSERT(store->lastIndex() >= synced);
+                for (unsigned i = random(12); i; --i) {
+                    auto next = batch(store->lastIndex() + 1, store->lastIndex() + 1 + random(3), 1, random(100));
+                    if (random(4) == 0)
+                        next.snapshot = snapshotAt(store->lastIndex(), 1);
+                    CPPUNIT_ASSERT(store->writeAndSync(next));
+                    synced = store->lastIndex();
+                }
+                // The last write reaches the disk only in part.
+                m_files->isSyncFailing = true;
+                auto torn = batch(store->lastIndex() + 1, store->lastIndex() + 2, 1);
+                if (random(2))
+                    torn.snapshot = snapshotAt(store->lastIndex(), 1);
+                CPPUNIT_ASSERT(!store->writeAndSync(torn));
+                m_files->isSyncFailing = false;
+                m_files->crash();
+            }
+        }
+    }
+
+    // Guards against an older copy of a disk looking like the newer one.
+    void showsOlderCopy()
+    {
+        CPPUNIT_ASSERT(open()->writeAndSync(batch(1, 2, 1)));
+        const auto copy = m_files->olderCopy(3);
+        auto newer = open();
+        CPPUNIT_ASSERT(newer->writeAndSync(batch(3, 5, 1)));
+        const StoreIdentity identity = newer->identity();
+        m_files = copy;
+        auto older = open();
+        CPPUNIT_ASSERT(older->identity().store == identity.store);
+        CPPUNIT_ASSERT(older->identity().incarnation <= identity.incarnation);
+        CPPUNIT_ASSERT(older->identity().session != identity.session);
+        CPPUNIT_ASSERT_EQUAL(LogIndex(2), older->lastIndex());
+    }
+
+    // Guards against a renamed store that loses its records or its new name.
+    void renewsIdentity()
+    {
+        auto store = open();
+        CPPUNIT_ASSERT(store->writeAndSync(batch(1, 2, 1)));
+        store = open();
+        const StoreId old = store->identity().store;
+        WriteBatch renewal;
+        renewal.isIdentityRenewed = true;
+        const auto result = store->write(renewal);
+        CPPUNIT_ASSERT(result.identity.store != old);
+        auto reopened = open();
+        CPPUNIT_ASSERT(reopened->identity().store == result.identity.store);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), reopened->takeRecovered().entries.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordStoreTest);
+
+} // namespace hickoryknot
