--- a/src/consensus/Membership.cpp
+++ b/src/consensus/Membership.cpp
@@ -42,7 +42,7 @@
 void Membership::set(Member member)
 {
     const auto place = std::lower_bound(m_members.begin(), m_members.end(), member,
-        [](const Member& left, const Member& right) { return left.host < right.host; });
+        [](const Member& left, const Member& right) { return left.host.value() < right.host.value(); });
     if (place != m_members.end() && place->host == member.host)
         *place = std::move(member);
     else
--- a/src/log/SnapshotStore.cpp
+++ b/src/log/SnapshotStore.cpp
@@ -77,7 +77,7 @@
     std::vector<Snapshot> snapshots;
     for (const auto& name : *names) {
         if (name == temporaryName) {
-            if (const auto removed = m_disk.remove(name); !removed)
+            if (auto removed = m_disk.remove(name); !removed)
                 return tl::unexpected(removed.error());
         }
         if (!name.starts_with(prefix) || !name.ends_with(suffix))
@@ -102,13 +102,13 @@
     std::string header = encodeHeader(snapshot);
     appendNumber(header, checksumOf(header, snapshot.members, *snapshot.data));
     // An interrupted earlier write may have left a temporary file.
-    if (const auto removed = m_disk.remove(temporaryName); !removed && removed.error().code != ErrorCode::NotFound)
+    if (auto removed = m_disk.remove(temporaryName); !removed && removed.error().code != ErrorCode::NotFound)
         return removed;
-    const auto written = m_disk.append(temporaryName, header + snapshot.members)
-                             .and_then([&] { return m_disk.append(temporaryName, *snapshot.data); })
-                             .and_then([&] { return m_disk.sync(temporaryName); })
-                             .and_then([&] { return m_disk.rename(temporaryName, fileName(snapshot.index)); })
-                             .and_then([&] { return m_disk.syncFolder(); });
+    auto written = m_disk.append(temporaryName, header + snapshot.members)
+                       .and_then([&] { return m_disk.append(temporaryName, *snapshot.data); })
+                       .and_then([&] { return m_disk.sync(temporaryName); })
+                       .and_then([&] { return m_disk.rename(temporaryName, fileName(snapshot.index)); })
+                       .and_then([&] { return m_disk.syncFolder(); });
     if (!written)
         return written;
     std::erase(m_kept, snapshot.index);
--- a/src/log/StoreIdentityFile.cpp
+++ b/src/log/StoreIdentityFile.cpp
@@ -64,7 +64,7 @@
         { "host", m_host.value() }, { "storeId", static_cast<uint64_t>(identity.store) },
         { "incarnation", identity.incarnation } };
     json["checksum"] = checksumOf(json);
-    if (const auto removed = m_disk.remove(temporaryName); !removed && removed.error().code != ErrorCode::NotFound)
+    if (auto removed = m_disk.remove(temporaryName); !removed && removed.error().code != ErrorCode::NotFound)
         return removed;
     return m_disk.append(temporaryName, json.dump(2) + "\n")
         .and_then([&] { return m_disk.sync(temporaryName); })
