--- a/src/scheduler/CellLink.cpp
+++ b/src/scheduler/CellLink.cpp
@@ -77,6 +77,7 @@
     }
     lookForgettable(batch);
     batch.admit.tableVersion = m_cell.table().version();
+    batch.admit.cellRevision = batch.supersede.cellRevision = batch.forget.cellRevision = m_cell.revision();
     batch.admit.atMs = batch.supersede.atMs = batch.cancel.atMs = atMs;
 
     std::vector<ZoneCommand> commands;
--- a/src/scheduler/WorkerDesk.cpp
+++ b/src/scheduler/WorkerDesk.cpp
@@ -51,6 +51,8 @@
     std::map<uint64_t, TaskKey> assignments(m_state.assignments().begin(), m_state.assignments().end());
     for (const auto& [epoch, key] : assignments)
         adopt(epoch, key, true, now);
+    // Jobs that must end were perhaps told so by an earlier leader only.
+    syncAll(now);
 }
 
 void WorkerDesk::clear()
@@ -144,8 +146,7 @@
     if (known == m_views.end() || known->second.stop || known->second.isEnding)
         return;
     AssignmentView& view = known->second;
-    // Only what this leader and no earlier one could have handed out surely did not start.
-    if (view.phase == AssignmentView::Phase::Unsent && !view.isInherited) {
+    if (view.phase == AssignmentView::Phase::Unsent) {
         end(epoch, view, TaskResult::NeverStarted, 0, Duration::zero());
         return;
     }
@@ -250,12 +251,6 @@
         AssignmentView& view = m_views.at(epoch);
         if (view.isListed || view.isReported || view.incarnation != heartbeat.incarnation)
             continue;
-        // The worker knows this leader and does not run what an earlier leader had assigned. A second start command
-        // to the same worker cannot make two places; a task that must not run twice waits for its lease instead.
-        if (view.isInherited && view.isRepeatable && view.phase == AssignmentView::Phase::Sent) {
-            view.phase = AssignmentView::Phase::Unsent;
-            wake(view.worker);
-        }
         if (view.phase != AssignmentView::Phase::Sent || view.isInherited)
             continue;
         if (heartbeat.lastSequence < view.sentSequence)
@@ -265,7 +260,9 @@
     }
     for (const uint64_t epoch : session.assignments) {
         AssignmentView& view = m_views.at(epoch);
-        if (view.expiredAt && heartbeat.lastSequence >= view.probeSequence && !view.isListed && !view.isReported)
+        const bool isAfterExpiry = view.expiredAt && heartbeat.lastSequence >= view.probeSequence;
+        // A restarted worker knows nothing of what its earlier process ran.
+        if (isAfterExpiry && !view.isListed && !view.isReported && view.incarnation == heartbeat.incarnation)
             view.isDenied = true;
     }
 }
@@ -386,7 +383,8 @@
 {
     const bool isWorkerThere = worker && !worker->isSilent && worker->incarnation == view.incarnation;
     if (view.isRepeatable) {
-        // The start command was probably lost: nothing runs under it any more, so it may be sent again.
+        // The start command was probably lost. It is sent again only now, when the first one is no longer valid: with
+        // two valid ones a late one could start the task again after its end, on capacity that others have got since.
         const bool maySendAgain = isWorkerThere && !worker->isLeaving && !view.isReceived && !view.stop
             && view.phase == AssignmentView::Phase::Sent && view.resends < maxResends;
         if (!maySendAgain) {
--- a/src/scheduler/ZoneScheduler.h
+++ b/src/scheduler/ZoneScheduler.h
@@ -30,7 +30,9 @@
 
     /// The host leads the zone's group in `term` and the zone state holds all entries of earlier terms.
     void becomeLeader(uint64_t term, TimePoint now);
-    /// The host no longer leads. All soft state is dropped; outstanding proposals need no result.
+    /// The host no longer leads. All soft state is dropped; outstanding proposals need no result. Must be called before
+    /// the first entry of a later term is applied to the zone state: what another leader placed is not this one's to
+    /// start.
     void resign();
     bool isLeader() const;
 
--- a/src/state/CellState.cpp
+++ b/src/state/CellState.cpp
@@ -52,6 +52,7 @@
 
 CommandResult CellState::execute(const CellCommand& command)
 {
+    ++m_data.revision;
     return std::visit([this](const auto& typed) { return run(typed); }, command);
 }
 
@@ -65,7 +66,7 @@
     writeValues(writer, m_data.zones);
     writeValues(writer, m_data.jobs);
     m_data.requests.write(writer);
-    writer(m_data.nextJob, m_data.nowMs);
+    writer(m_data.nextJob, m_data.revision, m_data.nowMs);
     return writer.finish();
 }
 
@@ -83,7 +84,7 @@
     readValues(reader, data.zones, &ZoneRecord::zone);
     readValues(reader, data.jobs, &CellJob::number);
     data.requests.read(reader);
-    reader(data.nextJob, data.nowMs);
+    reader(data.nextJob, data.revision, data.nowMs);
     if (const auto finished = reader.finish(); !finished)
         return finished;
     table.outcomes.assign(outcomes.begin(), outcomes.end());
--- a/src/state/CellState.h
+++ b/src/state/CellState.h
@@ -49,6 +49,8 @@
     const std::set<uint32_t>& jobsOfZone(const ZoneId&) const;
     const ChangeFeed& changes() const { return m_changes; }
 
+    /// Number of commands executed so far; equal on all hosts at the same place of the log.
+    uint64_t revision() const { return m_data.revision; }
     /// Jobs with this number or a higher one are not known to this copy yet.
     uint32_t nextJob() const { return m_data.nextJob; }
     /// Latest time that a command carried.
@@ -64,6 +66,7 @@
         std::map<uint32_t, CellJob> jobs;
         RequestBook requests;
         uint32_t nextJob { 1 };
+        uint64_t revision { 0 };
         UnixMs nowMs { 0 };
     };
 
--- a/src/state/StateFields.h
+++ b/src/state/StateFields.h
@@ -152,7 +152,7 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<AdmitCellJobs> auto& x)
 {
-    visit(x.entries, x.tableVersion, x.atMs);
+    visit(x.entries, x.tableVersion, x.cellRevision, x.atMs);
 }
 template <typename V> void visitFields(V& visit, SameAs<RecordWorkers::Entry> auto& x)
 {
@@ -171,7 +171,10 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<EndTasks> auto& x) { visit(x.entries, x.atMs); }
 template <typename V> void visitFields(V& visit, SameAs<CancelZoneJobs> auto& x) { visit(x.jobs, x.atMs); }
-template <typename V> void visitFields(V& visit, SameAs<SupersedeJobs> auto& x) { visit(x.jobs, x.atMs); }
+template <typename V> void visitFields(V& visit, SameAs<SupersedeJobs> auto& x)
+{
+    visit(x.jobs, x.cellRevision, x.atMs);
+}
 template <typename V> void visitFields(V& visit, SameAs<GiveBackJobs::Entry> auto& x)
 {
     visit(x.job, x.canNeverRun, x.reason);
@@ -179,7 +182,7 @@
 template <typename V> void visitFields(V& visit, SameAs<GiveBackJobs> auto& x) { visit(x.entries, x.atMs); }
 template <typename V> void visitFields(V& visit, SameAs<RefuseJobs::Entry> auto& x) { visit(x.job, x.reason); }
 template <typename V> void visitFields(V& visit, SameAs<RefuseJobs> auto& x) { visit(x.entries, x.atMs); }
-template <typename V> void visitFields(V& visit, SameAs<ForgetCellJobs> auto& x) { visit(x.jobs); }
+template <typename V> void visitFields(V& visit, SameAs<ForgetCellJobs> auto& x) { visit(x.jobs, x.cellRevision); }
 template <typename V> void visitFields(V& visit, SameAs<RecordCutOff::Entry> auto& x) { visit(x.job, x.cutOff); }
 template <typename V> void visitFields(V& visit, SameAs<RecordCutOff> auto& x) { visit(x.entries, x.tableVersion); }
 
--- a/src/state/ZoneCommand.h
+++ b/src/state/ZoneCommand.h
@@ -38,6 +38,9 @@
     std::vector<Entry> entries {};
     /// Version of the table that gave the cut-off rules.
     uint64_t tableVersion { 0 };
+    /// CellState::revision() of the proposer's copy. Skipped as a whole if the zone has forgotten jobs by a newer copy,
+    /// because an older one may still show them as assigned here.
+    uint64_t cellRevision { 0 };
     UnixMs atMs { 0 };
 };
 
@@ -96,6 +99,7 @@
 /// BatchDone.
 struct SupersedeJobs {
     std::vector<uint32_t> jobs {};
+    uint64_t cellRevision { 0 };
     UnixMs atMs { 0 };
 };
 
@@ -125,6 +129,7 @@
 /// Forgets ended, given back and superseded cell jobs that the cell has recorded too. Result: CommandDone.
 struct ForgetCellJobs {
     std::vector<uint32_t> jobs {};
+    uint64_t cellRevision { 0 };
 };
 
 /// The cut-off rules that hold for the zone's jobs from now on, as of one table version. Result: CommandDone.
--- a/src/state/ZoneState.cpp
+++ b/src/state/ZoneState.cpp
@@ -76,7 +76,7 @@
         writer(job);
     writer(m_data.workers);
     m_data.requests.write(writer);
-    writer(m_data.nextJob, m_data.nextEpoch, m_data.cutOffVersion, m_data.nowMs);
+    writer(m_data.nextJob, m_data.nextEpoch, m_data.cutOffVersion, m_data.cellRevision, m_data.nowMs);
     return writer.finish();
 }
 
@@ -98,7 +98,7 @@
     }
     reader(data.workers);
     data.requests.read(reader);
-    reader(data.nextJob, data.nextEpoch, data.cutOffVersion, data.nowMs);
+    reader(data.nextJob, data.nextEpoch, data.cutOffVersion, data.cellRevision, data.nowMs);
     // An assignment to a worker that is not recorded would be followed out of bounds.
     for (const auto& [number, job] : data.jobs) {
         for (const auto& task : job.tasks) {
@@ -209,7 +209,7 @@
 {
     advanceTo(command.atMs);
     BatchDone done { .epochs = std::vector<uint64_t>(command.entries.size()) };
-    if (command.tableVersion < m_data.cutOffVersion)
+    if (command.tableVersion < m_data.cutOffVersion || command.cellRevision < m_data.cellRevision)
         return done;
     for (size_t i = 0; i < command.entries.size(); ++i) {
         const auto& entry = command.entries[i];
@@ -326,6 +326,7 @@
 CommandResult ZoneState::run(const SupersedeJobs& command)
 {
     advanceTo(command.atMs);
+    m_data.cellRevision = std::max(m_data.cellRevision, command.cellRevision);
     BatchDone done;
     for (const uint32_t number : command.jobs) {
         ZoneJob* job = findMutable({ .number = number, .isCellJob = true });
@@ -376,6 +377,7 @@
 
 CommandResult ZoneState::run(const ForgetCellJobs& command)
 {
+    m_data.cellRevision = std::max(m_data.cellRevision, command.cellRevision);
     for (const uint32_t number : command.jobs) {
         const ZoneJob* job = findJob({ .number = number, .isCellJob = true });
         if (job && !job->isOpen())
--- a/src/state/ZoneState.h
+++ b/src/state/ZoneState.h
@@ -84,6 +84,8 @@
         uint32_t nextJob { 1 };
         uint64_t nextEpoch { 1 };
         uint64_t cutOffVersion { 0 };
+        // Newest copy of the cell state by which jobs were forgotten.
+        uint64_t cellRevision { 0 };
         UnixMs nowMs { 0 };
     };
 
