--- a/tests/scheduler/ClusterWorld.cpp
+++ b/tests/scheduler/ClusterWorld.cpp
@@ -17,6 +17,7 @@
         .pausesHosts = false,
         .pausesWorkers = false,
         .restartsWorkers = false,
+        .cutsWorkersOff = false,
         .changesLeaders = false,
         .cutsZonesOff = false,
         .changesTable = false };
@@ -76,6 +77,9 @@
         Clock clock;
         int64_t pausedUntil { 0 };
         int64_t nextHeartbeatAt { 0 };
+        // Until then only one host can be reached, or none.
+        int64_t cutOffUntil { 0 };
+        const Host* reachable { nullptr };
     };
     std::vector<Machine> machines;
 };
@@ -227,6 +231,13 @@
     for (auto& machine : zone.machines) {
         if (m_faults.pausesWorkers && chance(0.001))
             machine.pausedUntil = m_trueTime + static_cast<int64_t>(m_random() % 8'000'000);
+        if (m_faults.cutsWorkersOff && chance(0.001)) {
+            const size_t host = m_random() % 3;
+            machine.cutOffUntil = m_trueTime + static_cast<int64_t>(m_random() % 8'000'000);
+            machine.reachable = host < zone.hosts.size() ? zone.hosts[host].get() : nullptr;
+        }
+        if (m_isCalm)
+            machine.pausedUntil = machine.cutOffUntil = 0;
         if (m_faults.restartsWorkers && chance(0.0005))
             machine.worker.restart();
     }
@@ -391,7 +402,8 @@
         machine.nextHeartbeatAt = m_trueTime + 200'000 + static_cast<int64_t>(m_random() % 500'000);
         // Heartbeats reach whoever the entry host takes for the leader, sometimes a replaced one.
         for (auto& host : zone.hosts) {
-            if (!host->scheduler.isLeader() || (m_faults.losesMessages && chance(0.05)))
+            const bool isCut = machine.cutOffUntil > m_trueTime && machine.reachable != host.get();
+            if (!host->scheduler.isLeader() || isCut || (m_faults.losesMessages && chance(0.05)))
                 continue;
             auto mail = std::make_unique<Envelope>();
             mail->arrivesAt = m_trueTime + randomDelay().count();
--- a/tests/scheduler/ClusterWorld.h
+++ b/tests/scheduler/ClusterWorld.h
@@ -20,6 +20,7 @@
     bool pausesHosts { true };
     bool pausesWorkers { true };
     bool restartsWorkers { true };
+    bool cutsWorkersOff { true };
     bool changesLeaders { true };
     bool cutsZonesOff { true };
     bool changesTable { true };
--- /dev/null
+++ b/tests/state/CellStateTest.cpp
@@ -0,0 +1,295 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "state/CellState.h"
+
+namespace hickoryknot {
+
+namespace {
+
+constexpr UnixMs startMs = 1'800'000'000'000;
+
+RequestId requestAt(UnixMs atMs, int number)
+{
+    return RequestId("c-" + std::to_string(atMs) + "-" + std::to_string(number));
+}
+
+JobSpec makeSpec(const char* row = "default", bool isRepeatable = true)
+{
+    return { .row = RowName(row),
+        .team = TeamId("t"),
+        .perTask = { .millicores = Millicores(1000), .mebibytes = {}, .accelerators = {} },
+        .isRepeatable = isRepeatable,
+        .command = "run" };
+}
+
+} // namespace
+
+class CellStateTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CellStateTest);
+    CPPUNIT_TEST(resendGetsTheSameJob);
+    CPPUNIT_TEST(expiredIdsNeverCountAsNew);
+    CPPUNIT_TEST(requestThatMustNotRunTwiceStartsOnce);
+    CPPUNIT_TEST(lostOutcomesAreUnknown);
+    CPPUNIT_TEST(fullBookRefusesInsteadOfForgetting);
+    CPPUNIT_TEST(onlyTheCurrentEpochCounts);
+    CPPUNIT_TEST(releaseFollowsTheRuleThatTheZoneKnows);
+    CPPUNIT_TEST(refusedOnlyOnceAllZonesSaySo);
+    CPPUNIT_TEST(zoneGroupsChangeByGeneration);
+    CPPUNIT_TEST(corruptSnapshotChangesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    CellState m_state;
+
+    template <typename Result> Result run(const CellCommand& command)
+    {
+        const auto result = m_state.execute(command);
+        CPPUNIT_ASSERT(std::holds_alternative<Result>(result));
+        return std::get<Result>(result);
+    }
+
+    ErrorCode runError(const CellCommand& command) { return run<Error>(command).code; }
+
+    uint32_t submit(int number, JobSpec spec = makeSpec())
+    {
+        run<JobAccepted>(SubmitCellJob {
+            .request = requestAt(startMs, number), .contentHash = 1, .spec = std::move(spec), .atMs = startMs });
+        return m_state.nextJob() - 1;
+    }
+
+    void addZone(const char* zone)
+    {
+        run<CommandDone>(
+            RecordHost { .host = HostId(zone), .zone = ZoneId(zone), .storeId = 1, .incarnation = 1, .atMs = startMs });
+    }
+
+    void assign(uint32_t job, uint64_t epoch, const char* zone)
+    {
+        const auto done = run<BatchDone>(
+            AssignCellJobs { .entries = { { .job = job, .epoch = epoch, .zone = ZoneId(zone) } }, .atMs = startMs });
+        CPPUNIT_ASSERT_EQUAL(epoch + 1, done.epochs.front());
+    }
+
+    void setCutOff(CutOffRule rule)
+    {
+        Row row;
+        row.name = RowName("default");
+        row.cutOff = rule;
+        const uint64_t base = m_state.table().version();
+        const auto result = run<TableChangeResult>(SetTable {
+            .change = { .baseVersion = base, .request = RequestId("op" + std::to_string(base)), .rows = { row } },
+            .atMs = startMs });
+        CPPUNIT_ASSERT(result.isAccepted);
+    }
+
+    void release(const char* zone)
+    {
+        run<BatchDone>(
+            ReleaseZone { .zone = ZoneId(zone), .epoch = m_state.findZone(ZoneId(zone))->epoch, .atMs = startMs + 5 });
+    }
+
+    // Guards against two jobs of one submission.
+    void resendGetsTheSameJob()
+    {
+        const SubmitCellJob command {
+            .request = requestAt(startMs, 1), .contentHash = 1, .spec = makeSpec(), .atMs = startMs
+        };
+        const auto first = run<JobAccepted>(command);
+        CPPUNIT_ASSERT(run<JobAccepted>(command).job == first.job);
+        SubmitCellJob other = command;
+        other.contentHash = 2;
+        CPPUNIT_ASSERT(runError(other) == ErrorCode::Conflict);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.openJobs().size());
+        // Still the same job after its end.
+        run<BatchDone>(CancelCellJobs { .jobs = { 1 }, .atMs = startMs + 1000 });
+        CPPUNIT_ASSERT(run<JobAccepted>(command).job == first.job);
+        run<CommandDone>(Expire { .atMs = startMs + 1000 + retentionMs });
+        CPPUNIT_ASSERT(m_state.jobStatus(first.job).has_value());
+        run<CommandDone>(Expire { .atMs = startMs + 1001 + retentionMs });
+        CPPUNIT_ASSERT(!m_state.jobStatus(first.job).has_value());
+        CPPUNIT_ASSERT(runError(command) == ErrorCode::Expired);
+    }
+
+    // Guards against an id that is forgotten and then runs again, also when the caller's clock is ahead.
+    void expiredIdsNeverCountAsNew()
+    {
+        const UnixMs ahead = startMs + retentionMs - 1;
+        const StartRequest command { .request = requestAt(ahead, 1),
+            .contentHash = 1,
+            .host = HostId("h"),
+            .deadlineMs = startMs + 100,
+            .atMs = startMs };
+        run<RequestStarted>(command);
+        run<RequestKnown>(EndRequest { .request = command.request, .outcome = {}, .atMs = startMs + 1 });
+        for (UnixMs now = startMs; now < startMs + 3 * retentionMs; now += 1000) {
+            run<CommandDone>(Expire { .atMs = now });
+            StartRequest resend = command;
+            resend.atMs = now;
+            CPPUNIT_ASSERT(!std::holds_alternative<RequestStarted>(m_state.execute(resend)));
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, m_state.requests().size());
+        StartRequest future = command;
+        future.request = requestAt(m_state.now() + retentionMs + 1, 2);
+        CPPUNIT_ASSERT(runError(future) == ErrorCode::InvalidArgument);
+    }
+
+    // Guards against a second start through another host, and against a second outcome.
+    void requestThatMustNotRunTwiceStartsOnce()
+    {
+        StartRequest command { .request = RequestId("any-form"),
+            .contentHash = 1,
+            .host = HostId("a"),
+            .deadlineMs = startMs + 1000,
+            .atMs = startMs };
+        run<RequestStarted>(command);
+        command.host = HostId("b");
+        CPPUNIT_ASSERT(run<RequestKnown>(command).isRunning);
+        const Outcome done {
+            .kind = OutcomeKind::Done, .reason = "", .sentence = "", .answer = std::string("\0\xff", 2)
+        };
+        run<RequestKnown>(EndRequest { .request = command.request, .outcome = done, .atMs = startMs + 5 });
+        Outcome late = done;
+        late.kind = OutcomeKind::NotRun;
+        CPPUNIT_ASSERT(
+            run<RequestKnown>(EndRequest { .request = command.request, .outcome = late, .atMs = startMs + 6 }).outcome
+            == done);
+        CPPUNIT_ASSERT(run<RequestKnown>(command).outcome == done);
+        CPPUNIT_ASSERT(runError(EndRequest { .request = RequestId("never") }) == ErrorCode::NotFound);
+    }
+
+    // Guards against requests that stay open for ever when their entry host dies.
+    void lostOutcomesAreUnknown()
+    {
+        addZone("z");
+        for (const char* id : { "r1", "r2" })
+            run<RequestStarted>(StartRequest { .request = RequestId(id),
+                .contentHash = 1,
+                .host = HostId(id[1] == '1' ? "z" : "other"),
+                .deadlineMs = startMs + 1000,
+                .atMs = startMs });
+        // A restarted host has forgotten what it had sent.
+        run<CommandDone>(RecordHost { .host = HostId("z"), .zone = ZoneId("z"), .storeId = 1, .incarnation = 2 });
+        CPPUNIT_ASSERT(m_state.requests().find(RequestId("r1"))->outcome.reason == "host_lost");
+        run<CommandDone>(Expire { .atMs = startMs + 1000 + RequestBook::outcomeGraceMs });
+        CPPUNIT_ASSERT(m_state.requests().find(RequestId("r2"))->phase == RequestPhase::Started);
+        run<CommandDone>(Expire { .atMs = startMs + 1001 + RequestBook::outcomeGraceMs });
+        CPPUNIT_ASSERT(m_state.requests().find(RequestId("r2"))->outcome.kind == OutcomeKind::Unknown);
+    }
+
+    // Guards against memory without bound, and against records dropped early to make room.
+    void fullBookRefusesInsteadOfForgetting()
+    {
+        const std::string answer(RequestBook::maxAnswerLength, 'x');
+        size_t started = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const auto id = requestAt(startMs, i);
+            const auto result = m_state.execute(
+                StartRequest { .request = id, .contentHash = 1, .deadlineMs = startMs + 1000, .atMs = startMs });
+            if (!std::holds_alternative<RequestStarted>(result)) {
+                CPPUNIT_ASSERT(std::get<Error>(result).code == ErrorCode::Overloaded);
+                break;
+            }
+            run<RequestKnown>(EndRequest { .request = id,
+                .outcome = { .kind = OutcomeKind::Done, .reason = "", .sentence = "", .answer = answer } });
+            ++started;
+        }
+        CPPUNIT_ASSERT_EQUAL(RequestBook::maxAnswerBytes / RequestBook::maxAnswerLength, started);
+        CPPUNIT_ASSERT_EQUAL(answer, m_state.requests().find(requestAt(startMs, 0))->outcome.answer);
+    }
+
+    // Guards against a zone of the past that finishes or returns a job which has moved on.
+    void onlyTheCurrentEpochCounts()
+    {
+        addZone("east");
+        addZone("west");
+        const uint32_t job = submit(1);
+        assign(job, 0, "east");
+        release("east");
+        assign(job, 1, "west");
+        const FinishCellJobs late { .entries = { { .job = job, .epoch = 1 } }, .atMs = startMs };
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, run<BatchDone>(late).epochs.front());
+        const ReturnCellJobs returned { .entries = { { .job = job, .epoch = 1 } }, .atMs = startMs };
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, run<BatchDone>(returned).epochs.front());
+        CPPUNIT_ASSERT(m_state.findJob(job)->zone == ZoneId("west"));
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, m_state.findJob(job)->epoch);
+        // A repeated release of the epoch before has no effect.
+        assign(submit(2), 0, "east");
+        CPPUNIT_ASSERT(runError(ReleaseZone { .zone = ZoneId("east"), .epoch = 1 }) == ErrorCode::Conflict);
+    }
+
+    // Guards against moving a job whose zone is cut off and still goes by the rule keep.
+    void releaseFollowsTheRuleThatTheZoneKnows()
+    {
+        addZone("east");
+        setCutOff(CutOffRule::Keep);
+        const uint32_t job = submit(1);
+        const uint32_t once = submit(2, makeSpec("default", false));
+        assign(job, 0, "east");
+        assign(once, 0, "east");
+        setCutOff(CutOffRule::Stop);
+        release("east");
+        CPPUNIT_ASSERT(m_state.findJob(job)->phase == CellJobPhase::Assigned);
+        // Rules of another version than the newest are not confirmed.
+        CPPUNIT_ASSERT(runError(ConfirmCutOff { .zone = ZoneId("east"), .tableVersion = 2 }) == ErrorCode::Conflict);
+        run<CommandDone>(ConfirmCutOff { .zone = ZoneId("east"), .tableVersion = 3 });
+        release("east");
+        CPPUNIT_ASSERT(m_state.findJob(job)->phase == CellJobPhase::Queued);
+        CPPUNIT_ASSERT(m_state.findJob(once)->outcome.kind == OutcomeKind::Unknown);
+        // The way back holds at once.
+        assign(job, 1, "east");
+        setCutOff(CutOffRule::Keep);
+        release("east");
+        CPPUNIT_ASSERT(m_state.findJob(job)->phase == CellJobPhase::Assigned);
+    }
+
+    // Guards against refusing a job that only one of the zones cannot run.
+    void refusedOnlyOnceAllZonesSaySo()
+    {
+        addZone("east");
+        addZone("west");
+        const uint32_t job = submit(1);
+        assign(job, 0, "east");
+        run<BatchDone>(ReturnCellJobs {
+            .entries = { { .job = job, .epoch = 1, .canNeverRun = true, .reason = "too large" } }, .atMs = startMs });
+        CPPUNIT_ASSERT(m_state.findJob(job)->phase == CellJobPhase::Queued);
+        assign(job, 1, "west");
+        run<BatchDone>(ReturnCellJobs {
+            .entries = { { .job = job, .epoch = 2, .canNeverRun = true, .reason = "too large" } }, .atMs = startMs });
+        CPPUNIT_ASSERT(m_state.findJob(job)->outcome.kind == OutcomeKind::Refused);
+        CPPUNIT_ASSERT(m_state.queuedJobs().empty() && m_state.openJobs().empty());
+    }
+
+    // Guards against two changes of one group that do not know of each other.
+    void zoneGroupsChangeByGeneration()
+    {
+        addZone("east");
+        const SetZoneGroup command { .zone = ZoneId("east"), .members = { HostId("a"), HostId("b") } };
+        run<CommandDone>(command);
+        CPPUNIT_ASSERT(runError(command) == ErrorCode::Conflict);
+        const uint32_t job = submit(1);
+        assign(job, 0, "east");
+        run<CommandDone>(SetZoneGroup { .zone = ZoneId("east"), .expectedGeneration = 1, .startsEmpty = true });
+        CPPUNIT_ASSERT(m_state.findJob(job)->phase == CellJobPhase::Queued);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, m_state.findZone(ZoneId("east"))->epoch);
+    }
+
+    // Guards against a half restored state.
+    void corruptSnapshotChangesNothing()
+    {
+        addZone("east");
+        submit(1);
+        const auto snapshot = m_state.snapshot();
+        const uint64_t digest = m_state.digest();
+        for (size_t length = 0; length < snapshot.size(); ++length)
+            CPPUNIT_ASSERT(!m_state.restore(std::string_view(snapshot).substr(0, length)));
+        CPPUNIT_ASSERT(!m_state.restore(snapshot + "x"));
+        CPPUNIT_ASSERT_EQUAL(digest, m_state.digest());
+        CPPUNIT_ASSERT(std::get<Error>(*decodeCommandResult(m_state.apply(1, "junk"))).code == ErrorCode::Corrupt);
+        CellState other;
+        CPPUNIT_ASSERT(other.restore(snapshot).has_value());
+        CPPUNIT_ASSERT_EQUAL(digest, other.digest());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CellStateTest);
+
+} // namespace hickoryknot
