--- a/src/state/CellState.cpp
+++ b/src/state/CellState.cpp
@@ -85,7 +85,7 @@
     readValues(reader, data.jobs, &CellJob::number);
     data.requests.read(reader);
     reader(data.nextJob, data.revision, data.nowMs);
-    if (const auto finished = reader.finish(); !finished)
+    if (auto finished = reader.finish(); !finished)
         return finished;
     table.outcomes.assign(outcomes.begin(), outcomes.end());
     data.table.restore(std::move(table));
--- a/src/state/ZoneState.cpp
+++ b/src/state/ZoneState.cpp
@@ -106,7 +106,7 @@
                 reader.fail();
         }
     }
-    if (const auto finished = reader.finish(); !finished)
+    if (auto finished = reader.finish(); !finished)
         return finished;
     m_data = std::move(data);
     rebuildIndexes();
--- a/src/table/RowColumns.cpp
+++ b/src/table/RowColumns.cpp
@@ -28,42 +28,57 @@
     return makeError(ErrorCode::InvalidArgument, fmt::format("'{}' is not allowed; allowed: {}", text, allowed));
 }
 
-template <auto access> std::string formatNumber(const Row& row) { return std::to_string(toNumber(access(row))); }
+// The member that a path of member pointers leads to.
+template <auto... path> auto& memberOf(Row& row) { return (row.*....*path); }
+template <auto... path> const auto& memberOf(const Row& row) { return (row.*....*path); }
 
-template <auto access, int64_t min, int64_t max> Expected<void> parseNumber(Row& row, std::string_view text)
+template <auto... path> std::string formatNumber(const Row& row)
+{
+    return std::to_string(toNumber(memberOf<path...>(row)));
+}
+
+template <int64_t min, int64_t max, auto... path> Expected<void> parseNumber(Row& row, std::string_view text)
 {
     int64_t value = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
     const bool isWhole = failure == std::errc() && end == text.data() + text.size();
     if (!isWhole || value < min || value > max)
         return outOfRange(text, fmt::format("whole numbers from {} to {}", min, max));
-    assign(access(row), value);
+    assign(memberOf<path...>(row), value);
     return {};
 }
 
-template <auto access> std::string formatBoolean(const Row& row) { return access(row) ? "true" : "false"; }
+template <auto member> std::string formatBoolean(const Row& row) { return row.*member ? "true" : "false"; }
 
-template <auto access> Expected<void> parseBoolean(Row& row, std::string_view text)
+template <auto member> Expected<void> parseBoolean(Row& row, std::string_view text)
 {
     if (text != "true" && text != "false")
         return outOfRange(text, "true, false");
-    access(row) = text == "true";
+    row.*member = text == "true";
     return {};
 }
 
-// Columns with two texts map to an enumeration with values 0 and 1.
-template <auto access, auto first, auto second> Expected<void> parseChoice(Row& row, std::string_view text)
+// Texts of an enumeration with the values 0 and 1.
+struct ChoiceTexts {
+    const char* first;
+    const char* second;
+};
+constexpr ChoiceTexts kindTexts { .first = "class", .second = "team" };
+constexpr ChoiceTexts placementTexts { .first = "spread", .second = "pack" };
+constexpr ChoiceTexts cutOffTexts { .first = "keep", .second = "stop" };
+
+template <auto member, const ChoiceTexts& texts> std::string formatChoice(const Row& row)
 {
-    if (text != first() && text != second())
-        return outOfRange(text, fmt::format("{}, {}", first(), second()));
-    using Choice = std::remove_reference_t<decltype(access(row))>;
-    access(row) = text == first() ? Choice { 0 } : Choice { 1 };
-    return {};
+    return static_cast<int>(row.*member) == 0 ? texts.first : texts.second;
 }
 
-template <auto access, auto first, auto second> std::string formatChoice(const Row& row)
+template <auto member, const ChoiceTexts& texts> Expected<void> parseChoice(Row& row, std::string_view text)
 {
-    return static_cast<int>(access(row)) == 0 ? first() : second();
+    if (text != texts.first && text != texts.second)
+        return outOfRange(text, fmt::format("{}, {}", texts.first, texts.second));
+    using Choice = std::remove_reference_t<decltype(row.*member)>;
+    row.*member = text == texts.first ? Choice { 0 } : Choice { 1 };
+    return {};
 }
 
 std::string formatName(const Row& row) { return row.name.value(); }
@@ -115,71 +130,62 @@
     return {};
 }
 
-#define HICKORYKNOT_FIELD(member)                                                                                      \
-    [](auto& row) -> auto& { return row.member; }
-#define HICKORYKNOT_TEXT(text) [] { return text; }
-#define HICKORYKNOT_NUMBER(member, min, max)                                                                           \
-    formatNumber<HICKORYKNOT_FIELD(member)>, parseNumber<HICKORYKNOT_FIELD(member), min, max>
-#define HICKORYKNOT_BOOLEAN(member) formatBoolean<HICKORYKNOT_FIELD(member)>, parseBoolean<HICKORYKNOT_FIELD(member)>
-#define HICKORYKNOT_CHOICE(member, first, second)                                                                      \
-    formatChoice<HICKORYKNOT_FIELD(member), HICKORYKNOT_TEXT(first), HICKORYKNOT_TEXT(second)>,                        \
-        parseChoice<HICKORYKNOT_FIELD(member), HICKORYKNOT_TEXT(first), HICKORYKNOT_TEXT(second)>
-
 constexpr std::array<RowColumn, 18> columns { {
     { "name", ColumnType::Text, "", "1 to 128 letters, digits and ._:-",
         "Names the row; requests and jobs name a class, jobs also name a team.", formatName, parseName },
     { "kind", ColumnType::Text, "", "class, team", "A class steers work that names it; a team row holds a quota.",
-        HICKORYKNOT_CHOICE(kind, "class", "team") },
+        formatChoice<&Row::kind, kindTexts>, parseChoice<&Row::kind, kindTexts> },
     { "weight", ColumnType::Number, "shares", "1 to 1000",
         "Share of turns and free capacity relative to the other rows when there is not enough for all.",
-        HICKORYKNOT_NUMBER(weight, 1, 1000) },
+        formatNumber<&Row::weight>, parseNumber<1, 1000, &Row::weight> },
     { "priority", ColumnType::Number, "", "0 to 100", "Work of a higher number goes first.",
-        HICKORYKNOT_NUMBER(priority, 0, 100) },
+        formatNumber<&Row::priority>, parseNumber<0, 100, &Row::priority> },
     { "repeatable", ColumnType::Boolean, "", "true, false",
         "Whether work may be started again after it may have run; a request or job may say otherwise for itself.",
-        HICKORYKNOT_BOOLEAN(isRepeatable) },
+        formatBoolean<&Row::isRepeatable>, parseBoolean<&Row::isRepeatable> },
     { "targetWaitMs", ColumnType::Number, "ms", "1 to 604800000",
         "Waiting time before start that the class should keep; the burn report measures against it.",
-        HICKORYKNOT_NUMBER(targetWait, 1, maxWaitMs) },
+        formatNumber<&Row::targetWait>, parseNumber<1, maxWaitMs, &Row::targetWait> },
     { "waitBoundMs", ColumnType::Number, "ms", "1 to 604800000",
-        "A request that has waited this long is answered not run.", HICKORYKNOT_NUMBER(waitBound, 1, maxWaitMs) },
+        "A request that has waited this long is answered not run.", formatNumber<&Row::waitBound>,
+        parseNumber<1, maxWaitMs, &Row::waitBound> },
     { "queueBound", ColumnType::Number, "requests", "0 to 100000",
         "Requests that may wait on one entry host; further ones are answered not run at once.",
-        HICKORYKNOT_NUMBER(queueBound, 0, 100000) },
+        formatNumber<&Row::queueBound>, parseNumber<0, 100000, &Row::queueBound> },
     { "maxRunning", ColumnType::Number, "tasks", "0 to 1000000",
-        "Tasks and requests that may run at once in the cell; 0 means no limit.",
-        HICKORYKNOT_NUMBER(maxRunning, 0, 1000000) },
+        "Tasks and requests that may run at once in the cell; 0 means no limit.", formatNumber<&Row::maxRunning>,
+        parseNumber<0, 1000000, &Row::maxRunning> },
     { "retryBudgetPercent", ColumnType::Number, "percent", "0 to 100",
-        "Retries allowed as a percentage of first attempts.", HICKORYKNOT_NUMBER(retryBudgetPercent, 0, 100) },
+        "Retries allowed as a percentage of first attempts.", formatNumber<&Row::retryBudgetPercent>,
+        parseNumber<0, 100, &Row::retryBudgetPercent> },
     { "hours", ColumnType::Text, "UTC", "always, or HH:MM-HH:MM",
         "Time of the day in which work may start; may pass midnight.", formatHours, parseHours },
     { "placement", ColumnType::Text, "", "spread, pack",
         "Spread puts tasks on many workers and racks; pack fills few workers.",
-        HICKORYKNOT_CHOICE(placement, "spread", "pack") },
+        formatChoice<&Row::placement, placementTexts>, parseChoice<&Row::placement, placementTexts> },
     { "cutOff", ColumnType::Text, "", "keep, stop",
         "What happens to work in a zone that is cut off: keep goes on there, stop ends there and may start elsewhere.",
-        HICKORYKNOT_CHOICE(cutOff, "keep", "stop") },
+        formatChoice<&Row::cutOff, cutOffTexts>, parseChoice<&Row::cutOff, cutOffTexts> },
     { "preemptible", ColumnType::Boolean, "", "true, false",
-        "Whether tasks may be stopped for urgent work and started again later.", HICKORYKNOT_BOOLEAN(isPreemptible) },
+        "Whether tasks may be stopped for urgent work and started again later.", formatBoolean<&Row::isPreemptible>,
+        parseBoolean<&Row::isPreemptible> },
     { "urgent", ColumnType::Boolean, "", "true, false",
-        "Whether work starts within 8 s, at the cost of preemptible work if need be.", HICKORYKNOT_BOOLEAN(isUrgent) },
+        "Whether work starts within 8 s, at the cost of preemptible work if need be.", formatBoolean<&Row::isUrgent>,
+        parseBoolean<&Row::isUrgent> },
     { "quotaMillicores", ColumnType::Number, "millicores", "0 to 1000000000",
         "Processors that all running tasks of a team may use together; 0 means no limit.",
-        HICKORYKNOT_NUMBER(quota.millicores, 0, maxQuotaMillicores) },
+        formatNumber<&Row::quota, &Resources::millicores>,
+        parseNumber<0, maxQuotaMillicores, &Row::quota, &Resources::millicores> },
     { "quotaMebibytes", ColumnType::Number, "MiB", "0 to 4000000000",
         "Memory that all running tasks of a team may use together; 0 means no limit.",
-        HICKORYKNOT_NUMBER(quota.mebibytes, 0, maxQuotaMebibytes) },
+        formatNumber<&Row::quota, &Resources::mebibytes>,
+        parseNumber<0, maxQuotaMebibytes, &Row::quota, &Resources::mebibytes> },
     { "quotaAccelerators", ColumnType::Number, "accelerators", "0 to 100000",
         "Accelerators that all running tasks of a team may use together; 0 means no limit.",
-        HICKORYKNOT_NUMBER(quota.accelerators, 0, maxQuotaAccelerators) },
+        formatNumber<&Row::quota, &Resources::accelerators>,
+        parseNumber<0, maxQuotaAccelerators, &Row::quota, &Resources::accelerators> },
 } };
 
-#undef HICKORYKNOT_FIELD
-#undef HICKORYKNOT_TEXT
-#undef HICKORYKNOT_NUMBER
-#undef HICKORYKNOT_BOOLEAN
-#undef HICKORYKNOT_CHOICE
-
 Expected<void> refuse(const Row& row, const std::string& sentence)
 {
     return makeError(ErrorCode::InvalidArgument, fmt::format("row '{}': {}", row.name.value(), sentence));
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -49,7 +49,7 @@
     size_t added = 0;
     // Rows to add or replace.
     for (const auto& row : change.rows) {
-        if (const auto checked = checkRow(row); !checked)
+        if (auto checked = checkRow(row); !checked)
             return checked;
         if (!named.insert(row.name).second)
             return refuse(fmt::format("row '{}' appears twice in the change", row.name.value()));
@@ -85,7 +85,7 @@
             .sentence = fmt::format(
                 "Request id {} was used before for another change; nothing was changed.", change.request.value()) };
     }
-    const auto result = decide(change);
+    auto result = decide(change);
     if (result.isAccepted)
         apply(change);
     remember(change, hash, result);
