--- a/src/report/BurnBuckets.h
+++ b/src/report/BurnBuckets.h
@@ -27,7 +27,7 @@
 /// Not thread safe.
 class BurnBuckets {
 public:
-    static constexpr size_t minutes = 24 * 60;
+    static constexpr size_t minutes = 1440;
     static constexpr size_t hours = 24;
     /// Waiting times are counted by powers of two of a millisecond; the last bucket takes everything longer.
     static constexpr size_t waitBuckets = 20;
--- a/src/routing/AdmissionQueue.h
+++ b/src/routing/AdmissionQueue.h
@@ -58,7 +58,7 @@
     template <typename IsWaiting> void clearSkipped(IsWaiting isWaiting)
     {
         constexpr size_t reserve = 64;
-        if (m_tickets.size() > 2 * m_waiting + reserve)
+        if (m_tickets.size() > size_t(2) * m_waiting + reserve)
             std::erase_if(m_tickets, [&](Ticket ticket) { return !isWaiting(ticket); });
     }
 
--- a/src/routing/FairTurns.h
+++ b/src/routing/FairTurns.h
@@ -12,14 +12,15 @@
 namespace hickoryknot {
 
 /// Decides which row is served next. Among rows of the highest waiting priority, server time is shared by weight: the
-/// row with the least weighted service so far goes first. One of every `lowPriorityTurn` turns goes to the row below
-/// that priority which has waited longest for a turn, so that no row starves.
+/// row with the least weighted service so far goes first. One part in `lowPriorityPart` of the server time goes to rows
+/// below that priority, in turn, so that no row starves. It is counted in server time because a few long requests of a
+/// low priority would otherwise take most of it.
 class FairTurns {
 public:
     static constexpr uint32_t maxPriority = 100;
 
-    explicit FairTurns(uint32_t lowPriorityTurn)
-        : m_lowPriorityTurn(std::max(lowPriorityTurn, 2U))
+    explicit FairTurns(uint32_t lowPriorityPart)
+        : m_lowPriorityPart(std::max(lowPriorityPart, 2U))
     {
     }
 
@@ -49,11 +50,7 @@
     {
         if (candidates.empty())
             return std::nullopt;
-        uint32_t highest = 0;
-        for (const uint32_t row : candidates)
-            highest = std::max(highest, m_rows[row].priority);
-
-        const bool isLowTurn = m_turns % m_lowPriorityTurn == m_lowPriorityTurn - 1;
+        const uint32_t highest = highestPriority(candidates);
         std::optional<uint32_t> best;
         std::optional<uint32_t> longestWaiting;
         for (const uint32_t row : candidates) {
@@ -63,16 +60,23 @@
             if (entry.priority < highest && (!longestWaiting || entry.lastTurn < m_rows[*longestWaiting].lastTurn))
                 longestWaiting = row;
         }
-        return isLowTurn && longestWaiting ? longestWaiting : best;
+        return longestWaiting && m_lowCredit >= 0 ? longestWaiting : best;
     }
 
     /// The picked row starts one request that takes about `cost` of a slot.
-    void charge(uint32_t row, Duration cost)
+    void charge(uint32_t row, Duration cost, std::span<const uint32_t> candidates)
     {
         Row& entry = m_rows[row];
+        const int64_t micros = std::max<int64_t>(cost.count(), 1);
         m_virtualTime[entry.priority] = std::max(m_virtualTime[entry.priority], entry.pass);
-        entry.pass += static_cast<uint64_t>(std::max<int64_t>(cost.count(), 1)) * weightScale / entry.weight;
+        entry.pass += static_cast<uint64_t>(micros) * weightScale / entry.weight;
         entry.lastTurn = ++m_turns;
+
+        // Lower rows earn their part while they wait, and pay for a turn taken before higher ones.
+        if (entry.priority < highestPriority(candidates))
+            m_lowCredit -= micros * (m_lowPriorityPart - 1);
+        else
+            m_lowCredit = std::min<int64_t>(m_lowCredit + micros, 0);
     }
 
 private:
@@ -86,10 +90,20 @@
         uint64_t lastTurn { 0 };
     };
 
-    uint32_t m_lowPriorityTurn;
+    uint32_t highestPriority(std::span<const uint32_t> candidates) const
+    {
+        uint32_t highest = 0;
+        for (const uint32_t row : candidates)
+            highest = std::max(highest, m_rows[row].priority);
+        return highest;
+    }
+
+    uint32_t m_lowPriorityPart;
     std::vector<Row> m_rows;
     std::array<uint64_t, maxPriority + 1> m_virtualTime {};
     uint64_t m_turns { 0 };
+    // Server time of higher rows, in microseconds, until lower rows have their part again; at most 0.
+    int64_t m_lowCredit { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/routing/RouterCore.h
+++ b/src/routing/RouterCore.h
@@ -22,7 +22,7 @@
     explicit RouterCore(const RouterSettings& given)
         : settings(given)
         , random(given.seed, 1)
-        , rows(given.lowPriorityTurn)
+        , rows(given.lowPriorityPart)
         , pool(given.seed, given.usesFailureScores)
     {
         settings.maxAttempts = std::clamp(settings.maxAttempts, 1U, RoutedRequest::maxAttempts);
--- a/src/routing/RouterDispatch.cpp
+++ b/src/routing/RouterDispatch.cpp
@@ -76,7 +76,7 @@
             passedOver.push_back(*ticket);
             continue;
         }
-        rows.turns().charge(rowIndex, rows[rowIndex].serviceTime.meanOrDefault());
+        rows.turns().charge(rowIndex, rows[rowIndex].serviceTime.meanOrDefault(), candidates);
         start(request, *server, now, actions);
         hasStarted = true;
         break;
--- a/src/routing/RouterRows.h
+++ b/src/routing/RouterRows.h
@@ -33,8 +33,8 @@
 /// The class rows of the table with their queues. Rows keep their index while they are listed or have requests.
 class RouterRows {
 public:
-    explicit RouterRows(uint32_t lowPriorityTurn)
-        : m_turns(lowPriorityTurn)
+    explicit RouterRows(uint32_t lowPriorityPart)
+        : m_turns(lowPriorityPart)
     {
     }
 
--- a/src/routing/RouterSettings.h
+++ b/src/routing/RouterSettings.h
@@ -19,8 +19,8 @@
     Duration maxDeadline { 600s };
     /// Requests of all rows that may wait or run on this host; bounds memory.
     uint32_t maxRequests { 20000 };
-    /// One of this many turns goes to rows below the highest waiting priority, so that none starves.
-    uint32_t lowPriorityTurn { 8 };
+    /// One in this many parts of the server time goes to rows below the highest waiting priority, so that none starves.
+    uint32_t lowPriorityPart { 8 };
     /// Answers `not run` at once when the deadline cannot be kept.
     bool usesEarlyNotRun { true };
     /// Limits failing servers to one probe at a time.
--- a/src/routing/SlotShares.cpp
+++ b/src/routing/SlotShares.cpp
@@ -4,8 +4,6 @@
 #include <tuple>
 #include <xxhash.h>
 
-#include "core/Assert.h"
-
 namespace hickoryknot {
 
 namespace {
@@ -55,8 +53,12 @@
 
 void SlotShares::becomeGranter(uint64_t term, TimePoint now)
 {
-    HICKORYKNOT_ASSERT(term > m_term, "a granter's term grows with each election");
+    if (term < m_term)
+        return;
     m_isGranter = true;
+    // Grants of this term still count, so nothing has to be waited out again.
+    if (term == m_term)
+        return;
     m_term = term;
     m_lastNumber = 0;
     m_grantsFrom = now + handoverWait();
@@ -89,12 +91,13 @@
         // A restarted server runs nothing of what its predecessor was sent.
         if (server.incarnation != view.incarnation)
             clearServer(found->second);
+        const SlotCount pool = m_partition.poolOf({ view.slots, view.connectionLimit });
+        m_isMembershipChanged = m_isMembershipChanged || isNew || server.pool != pool;
         server.incarnation = view.incarnation;
-        server.pool = m_partition.poolOf({ view.slots, view.connectionLimit });
+        server.pool = pool;
         server.isListed = true;
     }
     dropUnusedServers();
-    m_isMembershipChanged = true;
 }
 
 void SlotShares::clearServer(size_t serverIndex)
@@ -127,6 +130,7 @@
                 eraseFrom(grant.counts);
         }
         m_servers.erase(m_servers.begin() + static_cast<std::ptrdiff_t>(i));
+        m_isMembershipChanged = true;
     }
     m_indexByServer.clear();
     for (size_t i = 0; i < m_servers.size(); ++i)
@@ -231,6 +235,9 @@
 
 SlotCount SlotShares::grantable(const Holder& holder, size_t serverIndex) const
 {
+    // A server that is no longer listed only waits for its grants to run out.
+    if (!m_servers[serverIndex].isListed)
+        return {};
     SlotCount left = m_servers[serverIndex].pool;
     for (const Holder& other : m_holders) {
         if (&other != &holder)
--- a/src/routing/SlotShares.h
+++ b/src/routing/SlotShares.h
@@ -53,7 +53,7 @@
     explicit SlotShares(SlotSharesSettings);
 
     /// Starts granting under a new term after the wait for a predecessor's grants. `now` is the moment of the election
-    /// or later. Forgets all grants of earlier terms.
+    /// or later. Forgets all grants of earlier terms. The present term resumes after resign(); a lower one is ignored.
     void becomeGranter(uint64_t term, TimePoint now);
 
     /// A majority of the zone log has confirmed this leader in a round that started at `roundStartedAt`.
--- a/tests/routing/SlotSharesTest.cpp
+++ b/tests/routing/SlotSharesTest.cpp
@@ -290,6 +290,8 @@
     CPPUNIT_TEST(staleGrantsAndAsksAreRefused);
     CPPUNIT_TEST(restartedServerStartsWithoutGrants);
     CPPUNIT_TEST(slowClockOfAHolderIsAllowedFor);
+    CPPUNIT_TEST(presentTermResumesAndLowerOnesAreIgnored);
+    CPPUNIT_TEST(serverOffTheListGetsNoGrants);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against overloaded servers under pauses, lost and late messages, drift, restarts and elections.
@@ -452,6 +454,42 @@
         CPPUNIT_ASSERT(!grantedAfter(2020ms));
         CPPUNIT_ASSERT(grantedAfter(2070ms));
     }
+
+    // Guards against grants forgotten, or made anew too early, when a leader loses sight of its own role for a moment.
+    void presentTermResumesAndLowerOnesAreIgnored()
+    {
+        const std::vector servers { makeServer("a", 8, 60) };
+        SlotShares shares({ .seats = 0, .handoverWait = Duration(0) });
+        shares.setServers(servers);
+        TimePoint now(100s);
+        shares.becomeGranter(5, now);
+        shares.renewAuthority(now);
+        SlotLease first({ .host = HostId("h0"), .incarnation = 1, .seat = 0, .seats = 0 });
+        SlotLease second({ .host = HostId("h1"), .incarnation = 1, .seat = 1, .seats = 0 });
+        CPPUNIT_ASSERT(first.adopt(*shares.answer(first.makeAsk(servers, {}, 1, now), now), now));
+        shares.resign();
+        CPPUNIT_ASSERT(!shares.answer(second.makeAsk(servers, {}, 1, now), now));
+        shares.becomeGranter(4, now);
+        CPPUNIT_ASSERT(!shares.answer(second.makeAsk(servers, {}, 1, now), now));
+        shares.becomeGranter(5, now);
+        const auto grant = shares.answer(second.makeAsk(servers, {}, 1, now), now);
+        CPPUNIT_ASSERT(grant && grant->servers.empty());
+    }
+
+    // Guards against grants for servers that have gone, which would keep them for ever.
+    void serverOffTheListGetsNoGrants()
+    {
+        const std::vector servers { makeServer("a", 8, 60) };
+        SlotShares shares({ .seats = 0, .handoverWait = Duration(0) });
+        shares.setServers(servers);
+        const TimePoint now(100s);
+        shares.becomeGranter(1, now);
+        shares.renewAuthority(now);
+        SlotLease lease({ .host = HostId("h0"), .incarnation = 1, .seat = 0, .seats = 0 });
+        CPPUNIT_ASSERT_EQUAL(size_t(1), shares.answer(lease.makeAsk(servers, {}, 1, now), now)->servers.size());
+        shares.setServers({});
+        CPPUNIT_ASSERT(shares.answer(lease.makeAsk(servers, {}, 1, now), now)->servers.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlotSharesTest);
