Build Boost.Histogram under the sanitizers with gcc 12

gcc 12 reports false uses of uninitialized arrays inside the library when built with -fsanitize=address,undefined. The warnings are off for that header only; the tests of routing, report and membership pass under both sanitizers.

--- a/src/report/Metrics.cpp
+++ b/src/report/Metrics.cpp
@@ -1,7 +1,17 @@
 #include "report/Metrics.h"
 
-#include <algorithm>
+// With the sanitizers on, gcc 12 takes arrays of Boost.Histogram for uninitialized that are written before use.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wuninitialized"
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/histogram.hpp>
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic pop
+#endif
+
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
