--- a/src/report/BurnReport.cpp
+++ b/src/report/BurnReport.cpp
@@ -119,7 +119,7 @@
 std::string BurnReport::coverage() const
 {
     if (hostsMissing.empty())
-        return fmt::format("All {} hosts answered.", hostsAnswered.size());
+        return fmt::format("{} of {} hosts answered.", hostsAnswered.size(), hostsAnswered.size());
     std::string names;
     for (const HostId& host : hostsMissing)
         names += (names.empty() ? "" : ", ") + host.value();
--- a/src/report/BurnReportHtml.cpp
+++ b/src/report/BurnReportHtml.cpp
@@ -25,6 +25,8 @@
 figure { display: inline-block; width: 48%; min-width: 20em; margin: 0; vertical-align: top; }
 figcaption { font-size: .85em; color: #555; }
 svg { width: 100%; height: auto; }
+svg rect { fill: #2e7d6b; }
+svg rect.over { fill: #c0392b; }
 svg text { font: 10px system-ui, sans-serif; fill: #555; }
 )";
 
@@ -38,12 +40,16 @@
     {
     }
 
-    void bar(size_t index, double value, const std::string& tip, const char* colour)
+    void bar(size_t index, double value, const std::string& tip, bool isOver)
     {
+        // Bars of nothing would take most of the page's size.
+        if (value <= 0)
+            return;
         const double height = heightOf(value);
-        m_body += fmt::format("<rect x=\"{:.1f}\" y=\"{:.1f}\" width=\"{:.1f}\" height=\"{:.1f}\" fill=\"{}\">"
+        m_body += fmt::format("<rect{} x=\"{:.4g}\" y=\"{:.4g}\" width=\"{:.4g}\" height=\"{:.4g}\">"
                               "<title>{}</title></rect>\n",
-            xOf(index) + 1, plotHeight - plotBottom - height, m_barWidth - 2, height, colour, htmlEscaped(tip));
+            isOver ? " class=\"over\"" : "", xOf(index) + 1, plotHeight - plotBottom - height, m_barWidth - 2, height,
+            htmlEscaped(tip));
     }
 
     void label(size_t index, const std::string& text)
@@ -96,8 +102,7 @@
     for (size_t i = 0; i < row.waits.size(); ++i) {
         // A bucket that begins at or beyond the target holds late starts only.
         const bool isLate = i > 0 && BurnBuckets::waitBucketEnd(i - 1) >= row.targetWait;
-        plot.bar(i, static_cast<double>(row.waits[i]), fmt::format("up to {}: {}", waitLabel(i), row.waits[i]),
-            isLate ? "#c0392b" : "#2e7d6b");
+        plot.bar(i, static_cast<double>(row.waits[i]), fmt::format("up to {}: {}", waitLabel(i), row.waits[i]), isLate);
         if (i % 4 == 0)
             plot.label(i, waitLabel(i));
     }
@@ -115,7 +120,7 @@
     for (size_t i = 0; i < row.hourlyBurn.size(); ++i) {
         const size_t ago = row.hourlyBurn.size() - i;
         plot.bar(i, row.hourlyBurn[i], fmt::format("{} to {} h ago: {:.2f}", ago, ago - 1, row.hourlyBurn[i]),
-            row.hourlyBurn[i] > 1 ? "#c0392b" : "#2e7d6b");
+            row.hourlyBurn[i] > 1);
         if (ago % 6 == 0)
             plot.label(i, fmt::format("-{} h", ago));
     }
