--- a/src/core/Quantity.h
+++ b/src/core/Quantity.h
@@ -29,7 +29,7 @@
     friend constexpr Quantity operator+(Quantity a, Quantity b) { return Quantity(a.m_count + b.m_count); }
     friend constexpr Quantity operator-(Quantity a, Quantity b) { return Quantity(a.m_count - b.m_count); }
     friend constexpr Quantity operator*(Quantity a, int64_t factor) { return Quantity(a.m_count * factor); }
-    friend constexpr auto operator<=>(const Quantity&, const Quantity&) = default;
+    friend constexpr auto operator<=>(const Quantity&, const Quantity&) = default; // NOLINT(modernize-use-nullptr)
     friend constexpr bool operator==(const Quantity&, const Quantity&) = default;
 
 private:
--- a/src/placement/CapacityGrid.h
+++ b/src/placement/CapacityGrid.h
@@ -108,7 +108,7 @@
 
     uint64_t m_processorMask { 0 };
     std::array<uint64_t, levels> m_memoryMasks {};
-    std::array<WorkerIndex, levels * levels> m_heads;
+    std::array<WorkerIndex, size_t { levels } * levels> m_heads;
     std::vector<uint32_t> m_cells;
     std::vector<WorkerIndex> m_next;
     std::vector<WorkerIndex> m_previous;
--- a/src/placement/Explanation.cpp
+++ b/src/placement/Explanation.cpp
@@ -60,7 +60,7 @@
     return std::move(m_text);
 }
 
-void Explanation::add(std::string sentence)
+void Explanation::add(const std::string& sentence)
 {
     if (!m_text.empty())
         m_text += ' ';
--- a/src/placement/Explanation.h
+++ b/src/placement/Explanation.h
@@ -17,7 +17,7 @@
     std::string text();
 
 private:
-    void add(std::string sentence);
+    void add(const std::string& sentence);
     void addSummary();
     void addRuns();
     void addRun(const Run&);
--- a/src/placement/RefusalCheck.cpp
+++ b/src/placement/RefusalCheck.cpp
@@ -32,14 +32,11 @@
 {
     Resources largest;
     uint64_t places = 0;
-    for (WorkerIndex worker = 0; worker < m_state.workers.size(); ++worker) {
-        const WorkerRecord& record = m_state.workers[worker];
-        if (!record.isKnown)
-            continue;
-        largest.millicores = std::max(largest.millicores, record.capacity.millicores);
-        largest.mebibytes = std::max(largest.mebibytes, record.capacity.mebibytes);
-        largest.accelerators = std::max(largest.accelerators, record.capacity.accelerators);
-        places += WorkerTable::timesInto(job.perTask, record.capacity);
+    for (const CapacityClass& entry : m_state.workers.capacityClasses()) {
+        largest.millicores = std::max(largest.millicores, entry.capacity.millicores);
+        largest.mebibytes = std::max(largest.mebibytes, entry.capacity.mebibytes);
+        largest.accelerators = std::max(largest.accelerators, entry.capacity.accelerators);
+        places += uint64_t { entry.workers } * WorkerTable::timesInto(job.perTask, entry.capacity);
     }
     if (!places) {
         return fmt::format(
--- a/src/placement/ReservationBook.cpp
+++ b/src/placement/ReservationBook.cpp
@@ -122,6 +122,9 @@
         return false;
     m_openings[used - 1].tasks -= static_cast<uint32_t>(found - tasks);
     reservation.due = m_openings[used - 1].at;
+    // One hold per worker.
+    std::sort(m_openings.begin(), m_openings.begin() + static_cast<std::ptrdiff_t>(used),
+        [](const Opening& a, const Opening& b) { return std::tie(a.worker, a.at) < std::tie(b.worker, b.at); });
     for (size_t i = 0; i < used; ++i)
         addHold(reservation, m_openings[i].worker, m_openings[i].tasks);
     return true;
@@ -166,9 +169,13 @@
 
 void ReservationBook::addHold(Reservation& reservation, WorkerIndex worker, uint32_t tasks)
 {
-    const auto same = std::find_if(
-        reservation.holds.begin(), reservation.holds.end(), [&](const Hold& hold) { return hold.worker == worker; });
-    if (same != reservation.holds.end())
+    // One hold per worker: plans come in order of workers, and urgent holds are few.
+    auto same = reservation.holds.empty() ? reservation.holds.end() : reservation.holds.end() - 1;
+    if (reservation.kind == ReservationKind::Urgent) {
+        same = std::find_if(reservation.holds.begin(), reservation.holds.end(),
+            [&](const Hold& hold) { return hold.worker == worker; });
+    }
+    if (same != reservation.holds.end() && same->worker == worker)
         same->tasks += tasks;
     else
         reservation.holds.push_back({ worker, tasks });
@@ -177,7 +184,7 @@
     record.held += amount;
     if (reservation.kind == ReservationKind::Urgent)
         record.heldUrgent += amount;
-    updateDue(worker);
+    record.holdDue = std::min(record.holdDue, dueOf(reservation));
     m_state.workers.reindex(worker);
 }
 
@@ -198,6 +205,11 @@
     }
 }
 
+TimePoint ReservationBook::dueOf(const Reservation& reservation)
+{
+    return reservation.isLent ? reservation.due : TimePoint::min();
+}
+
 void ReservationBook::updateDue(WorkerIndex worker)
 {
     WorkerRecord& record = m_state.workers[worker];
@@ -209,7 +221,7 @@
             continue;
         for (const Hold& hold : reservation.holds) {
             if (hold.worker == worker)
-                record.holdDue = std::min(record.holdDue, reservation.isLent ? reservation.due : TimePoint::min());
+                record.holdDue = std::min(record.holdDue, dueOf(reservation));
         }
     }
 }
--- a/src/placement/ReservationBook.h
+++ b/src/placement/ReservationBook.h
@@ -50,6 +50,8 @@
     void collectOnWorker(WorkerIndex, const Resources& need, uint32_t tasks, TimePoint now);
     void addHold(Reservation&, WorkerIndex, uint32_t tasks);
     void releaseHolds(Reservation&);
+    /// Work on held capacity must end before this.
+    static TimePoint dueOf(const Reservation&);
     void updateDue(WorkerIndex);
     void drop(Reservation&, TimePoint now);
     bool mayStart(const Reservation&, uint32_t minuteOfDay) const;
--- a/src/placement/Wording.cpp
+++ b/src/placement/Wording.cpp
@@ -58,7 +58,7 @@
     const int64_t seconds = milliseconds / 1000;
     if (seconds < 120)
         return fmt::format("{} s", seconds);
-    if (seconds < 2 * 3600)
+    if (seconds < 7200)
         return fmt::format("{} min", seconds / 60);
     return fmt::format("{} h {} min", seconds / 3600, seconds / 60 % 60);
 }
--- a/src/placement/WorkerTable.cpp
+++ b/src/placement/WorkerTable.cpp
@@ -18,8 +18,11 @@
     if (isSame)
         return false;
     setRack(worker, rack);
-    if (!record.isKnown)
+    if (record.isKnown)
+        countCapacity(record.capacity, false);
+    else
         ++m_knownCount;
+    countCapacity(capacity, true);
     m_total += capacity - record.capacity;
     record.free += capacity - record.capacity;
     record.capacity = capacity;
@@ -46,6 +49,7 @@
     if (!record.isKnown)
         return;
     --m_knownCount;
+    countCapacity(record.capacity, false);
     m_total -= record.capacity;
     // The failure score stays: a worker that restarts is not a better worker.
     record.free -= record.capacity;
@@ -89,17 +93,16 @@
         Mebibytes(record.capacity.mebibytes.count() * free / divisor), {} };
 }
 
-uint32_t WorkerTable::timesInto(const Resources& need, const Resources& amount)
+void WorkerTable::countCapacity(const Resources& capacity, bool isAdded)
 {
-    int64_t times = UINT32_MAX;
-    const auto limit = [&times](int64_t part, int64_t whole) {
-        if (part > 0)
-            times = std::min(times, std::max<int64_t>(whole, 0) / part);
-    };
-    limit(need.millicores.count(), amount.millicores.count());
-    limit(need.mebibytes.count(), amount.mebibytes.count());
-    limit(need.accelerators.count(), amount.accelerators.count());
-    return static_cast<uint32_t>(times);
+    const auto same = std::find_if(m_capacityClasses.begin(), m_capacityClasses.end(),
+        [&](const CapacityClass& entry) { return entry.capacity == capacity; });
+    if (isAdded && same == m_capacityClasses.end())
+        m_capacityClasses.push_back({ capacity, 1 });
+    else if (isAdded)
+        ++same->workers;
+    else if (!--same->workers)
+        m_capacityClasses.erase(same);
 }
 
 double WorkerTable::dominantShare(const Resources& part) const
--- a/src/placement/WorkerTable.h
+++ b/src/placement/WorkerTable.h
@@ -10,6 +10,12 @@
 
 namespace hickoryknot {
 
+/// How many known workers have the same capacity.
+struct CapacityClass {
+    Resources capacity;
+    uint32_t workers { 0 };
+};
+
 /// Workers by index with an index of their free capacity. Callers change a record and then call reindex().
 class WorkerTable {
 public:
@@ -38,6 +44,8 @@
 
     uint32_t knownCount() const { return m_knownCount; }
     const Resources& total() const { return m_total; }
+    /// The distinct capacities of the known workers; usually few.
+    const std::vector<CapacityClass>& capacityClasses() const { return m_capacityClasses; }
 
     /// What `need` may use on the worker: not reserved, and not set aside for free accelerators if it needs none.
     Resources openFor(WorkerIndex worker, const Resources& need) const
@@ -64,11 +72,23 @@
     }
 
     /// How many times `need` goes into `amount`.
-    static uint32_t timesInto(const Resources& need, const Resources& amount);
+    static uint32_t timesInto(const Resources& need, const Resources& amount)
+    {
+        int64_t times = UINT32_MAX;
+        const auto limit = [&times](int64_t part, int64_t whole) {
+            if (part > 0)
+                times = std::min(times, std::max<int64_t>(whole, 0) / part);
+        };
+        limit(need.millicores.count(), amount.millicores.count());
+        limit(need.mebibytes.count(), amount.mebibytes.count());
+        limit(need.accelerators.count(), amount.accelerators.count());
+        return static_cast<uint32_t>(times);
+    }
     /// The larger of the processor, memory and accelerator shares of `part` in the known workers' total.
     double dominantShare(const Resources& part) const;
 
 private:
+    void countCapacity(const Resources&, bool isAdded);
     Resources setAside(const WorkerRecord&) const;
     void setRack(WorkerIndex, const RackId&);
 
@@ -79,6 +99,7 @@
     std::vector<std::vector<WorkerIndex>> m_rackWorkers;
     uint32_t m_knownCount { 0 };
     Resources m_total;
+    std::vector<CapacityClass> m_capacityClasses;
 
     // Rebuildable index: workers without and with free accelerators, by what work without accelerators may use, and
     // workers with free accelerators by what is open.
