Look deeper into queues that few teams share

A freed hole of half a core fits one job in twelve, and only the 16 longest of the queue were tried. Proof peeks waited 675 s because no capacity frees up at the start of a night that is packed full. Change: the depth is 2,048 jobs per row, shared by its teams, at most 256 per team. In the mix, peeks are urgent and folios and passes preemptible, as the table provides for work that must run at once. Ruled out: a fixed depth of 256 per team, which with 140 teams would use up the looks of a call on one row.

--- a/src/placement/DecisionLoop.cpp
+++ b/src/placement/DecisionLoop.cpp
@@ -15,8 +15,12 @@
 constexpr uint32_t maxRefusalChecks = 4;
 constexpr uint32_t maxWakes = 256;
 constexpr uint32_t maxLentTries = 32;
-// Jobs of one team that are tried past a job that does not fit.
-constexpr uint32_t queueDepth = 16;
+// Jobs of one row that are tried past jobs that do not fit, shared by the teams of the row, and bounds for each team.
+constexpr uint32_t rowDepth = 2048;
+constexpr uint32_t minQueueDepth = 16;
+constexpr uint32_t maxQueueDepth = 256;
+// Jobs looked at in order of age for overdue and urgent rows.
+constexpr uint32_t ageDepth = 16;
 // Overdue rows get one start in this many.
 constexpr uint32_t overdueTurn = 4;
 // Urgent work looks for free capacity during this part of its bound, then stops preemptible work; the rest of the bound
@@ -224,7 +228,9 @@
     TeamQueue& queue = m_state.waiting[index];
     if (queue.isEmpty() || queue.blockedAt == m_state.progress)
         return Trial::Blocked;
-    for (uint32_t i = 0; i < queueDepth && queue.first + i < queue.jobs.size();) {
+    const uint32_t depth
+        = std::clamp(rowDepth / static_cast<uint32_t>(row.queues.size()), minQueueDepth, maxQueueDepth);
+    for (uint32_t i = 0; i < depth && queue.first + i < queue.jobs.size();) {
         if (!m_looksLeft || !m_searchesLeft)
             return Trial::OutOfWork;
         --m_looksLeft;
@@ -399,7 +405,7 @@
 JobIndex DecisionLoop::oldestEligible(const RowRecord& row)
 {
     JobIndex job = row.oldestWaiting;
-    for (uint32_t i = 0; i < queueDepth && job != noIndex; ++i) {
+    for (uint32_t i = 0; i < ageDepth && job != noIndex; ++i) {
         JobRecord& record = m_state.jobs[job];
         const uint32_t tasks = record.kind == JobKind::Gang ? static_cast<uint32_t>(record.queuedTasks.size()) : 1;
         if (!record.heldTasks && mayRun(record, tasks))
@@ -420,7 +426,7 @@
         if (!row.row.isUrgent || !row.isOpenAt(m_minuteOfDay))
             continue;
         JobIndex job = row.oldestWaiting;
-        for (uint32_t i = 0; i < queueDepth && job != noIndex && scansLeft; ++i) {
+        for (uint32_t i = 0; i < ageDepth && job != noIndex && scansLeft; ++i) {
             const JobIndex newer = m_state.jobs[job].newerInRow;
             while (scansLeft && m_state.jobs[job].isWaiting && isLate(m_state.jobs[job])) {
                 --scansLeft;
