Stop asking for a read barrier without pause

Cause: a new leader's read barrier is refused until its first entry is committed; the refusal was taken as a reason to ask again within the same call, so the control thread never left it and no cell leader rose. Change: one barrier at a time, with a pause after a refusal. Ruled out: a fault in the election itself; the thread dump shows the loop in GroupRunner::pump. Conclusion: completions must not decide on retries without time.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 	@cmake -S . -B $(BUILD_DIR) -G Ninja $(CMAKE_FLAGS) > /dev/null
 	@cmake --build $(BUILD_DIR) -j $(JOBS)
 
+run: build
+	@BUILD_DIR=$(BUILD_DIR) scripts/run-cell.sh
+
 test: build
 	@cd $(BUILD_DIR) && ctest --output-on-failure -j $(JOBS)
 
--- a/src/app/GroupRunner.cpp
+++ b/src/app/GroupRunner.cpp
@@ -10,6 +10,13 @@
 
 namespace hickoryknot {
 
+namespace {
+
+/// Between two tries to confirm a new leadership; a round trip within the cell takes about this long.
+constexpr Duration barrierPause = 5ms;
+
+} // namespace
+
 GroupRunner::GroupRunner(GroupRunnerSettings settings, Links links)
     : m_settings(std::move(settings))
     , m_links(std::move(links))
@@ -188,24 +195,28 @@
     }
 
     // The end of leadership is told at once, its beginning once a read barrier shows that the state is complete.
-    if (m_isLeading && (!m_group->isLeader() || term != m_barrierTerm)) {
-        m_isLeading = false;
+    if (m_leadingTerm && (!m_group->isLeader() || term != *m_leadingTerm)) {
+        m_leadingTerm.reset();
         m_links.leadershipChanged(false, term, now);
     }
-    if (m_group->isLeader() && m_barrierTerm != term) {
-        m_barrierTerm = term;
-        m_group->readBarrier(now, [this, term](const Expected<void>& result) {
-            const bool isReadable = result.has_value();
-            m_completions.emplace_back([this, term, isReadable] {
-                if (isReadable && m_group->isLeader() && m_group->term() == term && !m_isLeading) {
-                    m_isLeading = true;
-                    m_links.leadershipChanged(true, term, steadyNow());
-                } else if (!isReadable && m_barrierTerm == term) {
-                    m_barrierTerm = 0;
-                }
-            });
-        });
-    }
+    if (!m_group->isLeader() || m_leadingTerm || m_isBarrierPending || now < m_nextBarrier)
+        return;
+    m_isBarrierPending = true;
+    m_group->readBarrier(now, [this, term](const Expected<void>& result) {
+        const bool isReadable = result.has_value();
+        m_completions.emplace_back([this, term, isReadable] { barrierEnded(term, isReadable, steadyNow()); });
+    });
+}
+
+void GroupRunner::barrierEnded(uint64_t term, bool isReadable, TimePoint now)
+{
+    // A leader whose first entry is not committed yet refuses the barrier; asking again at once would never end.
+    m_isBarrierPending = false;
+    m_nextBarrier = now + barrierPause;
+    if (!isReadable || !m_group->isLeader() || m_group->term() != term)
+        return;
+    m_leadingTerm = term;
+    m_links.leadershipChanged(true, term, now);
 }
 
 void GroupRunner::reportStorage()
--- a/src/app/GroupRunner.h
+++ b/src/app/GroupRunner.h
@@ -75,6 +75,7 @@
     void pump(TimePoint now);
     void reportMemberChange(std::string what, const Expected<void>&);
     void reportRole(TimePoint now);
+    void barrierEnded(uint64_t term, bool isReadable, TimePoint now);
     void reportStorage();
 
     GroupRunnerSettings m_settings;
@@ -83,8 +84,10 @@
     std::vector<std::function<void()>> m_completions;
     std::optional<HostId> m_reportedLeader;
     uint64_t m_reportedTerm { 0 };
-    uint64_t m_barrierTerm { 0 };
-    bool m_isLeading { false };
+    /// Term in which leadership has been told, while it lasts.
+    std::optional<uint64_t> m_leadingTerm;
+    TimePoint m_nextBarrier { TimePoint::min() };
+    bool m_isBarrierPending { false };
     bool m_hasReportedFailure { false };
     bool m_isPumping { false };
 };
