--- a/src/consensus/EvidenceTable.cpp
+++ b/src/consensus/EvidenceTable.cpp
@@ -26,11 +26,13 @@
     const auto* known = find(evidence.host, evidence.identity.store);
     if (!known) {
         m_entries.push_back(evidence);
+        ++m_revision;
         return true;
     }
     if (position(evidence) <= position(*known))
         return false;
     m_entries[static_cast<size_t>(known - m_entries.data())] = evidence;
+    ++m_revision;
     return true;
 }
 
@@ -60,10 +62,11 @@
 
 void EvidenceTable::prune(const Membership& membership)
 {
-    std::erase_if(m_entries, [&](const IdentityEvidence& entry) {
+    const auto removed = std::erase_if(m_entries, [&](const IdentityEvidence& entry) {
         const Member* member = membership.find(entry.host);
         return !member || (member->store != StoreId::None && member->store != entry.identity.store);
     });
+    m_revision += removed ? 1 : 0;
 }
 
 } // namespace hickoryknot
--- a/src/consensus/EvidenceTable.h
+++ b/src/consensus/EvidenceTable.h
@@ -34,10 +34,14 @@
 
     const std::vector<IdentityEvidence>& entries() const { return m_entries; }
 
+    /// Changes with each change of the entries.
+    uint64_t revision() const { return m_revision; }
+
 private:
     const IdentityEvidence* find(const HostId&, StoreId) const;
 
     std::vector<IdentityEvidence> m_entries;
+    uint64_t m_revision { 1 };
 };
 
 } // namespace hickoryknot
--- a/src/consensus/LogGroup.cpp
+++ b/src/consensus/LogGroup.cpp
@@ -279,6 +279,9 @@
 // A host that no longer leads in the term of the proposal does not learn soon what became of it.
 void LogGroup::failPendingAfterLoss()
 {
+    if (m_log.isLeader() && m_log.term() == m_pendingTerm)
+        return;
+    m_pendingTerm = m_log.term();
     const auto isLost = [&](Term term) { return !m_log.isLeader() || m_log.term() != term; };
     std::vector<PendingProposal> lost;
     std::erase_if(m_proposals, [&](auto& item) {
--- a/src/consensus/LogGroup.h
+++ b/src/consensus/LogGroup.h
@@ -157,6 +157,7 @@
     // Callers that wait.
     std::map<LogIndex, PendingProposal> m_proposals;
     size_t m_pendingBytes { 0 };
+    Term m_pendingTerm { 0 }; // Those who wait proposed in this term.
     std::vector<PendingRead> m_reads;
     std::vector<PendingChange> m_changes;
 };
--- a/src/consensus/LogTimings.h
+++ b/src/consensus/LogTimings.h
@@ -8,6 +8,7 @@
 /// the loss of the old one.
 struct LogTimings {
     Duration heartbeat { 75ms };
+    Duration learnerHeartbeat { 300ms }; // Learners elect nobody; with many of them heartbeats are the idle cost.
     Duration electionMin { 300ms }; // A voter that heard a leader this recently grants no vote.
     Duration electionMax { 600ms };
     Duration leaseMargin { 30ms }; // Clock drift allowed for within electionMin when a leader trusts its lease.
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -185,6 +185,8 @@
     }
     m_persistedSequence = std::max(m_persistedSequence, sequence);
     countOwnVote(now);
+    if (m_role == Role::Leader && maySendPromises())
+        noteEvidence(m_settings.self, m_settings.identity, m_term, m_persistedIndex);
     advanceCommit(now);
 }
 
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -261,6 +261,7 @@
     std::deque<std::pair<uint64_t, TimePoint>> m_roundTimes;
     bool m_isRoundWanted { false };
     TimePoint m_heartbeatDue;
+    TimePoint m_learnerHeartbeatDue;
     TimePoint m_leaderSince;
     HostId m_transferTarget;
     bool m_hasOfferedTransfer { false }; // In this term: an election may start despite the lease.
--- a/src/consensus/ReplicatedLogElection.cpp
+++ b/src/consensus/ReplicatedLogElection.cpp
@@ -166,6 +166,7 @@
         appendOwn(EntryKind::Empty, {});
     membershipChanged();
     m_heartbeatDue = now + m_settings.timings.heartbeat;
+    m_learnerHeartbeatDue = now;
     startRound(now);
 }
 
--- a/src/consensus/ReplicatedLogReplication.cpp
+++ b/src/consensus/ReplicatedLogReplication.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr uint64_t maxAppendsInFlight = 64; // Covers 16 MiB of entries per round trip at the default batch size.
+constexpr uint64_t evidenceRepeatRounds = 8; // About every 600 ms.
 
 uint64_t checksumOf(const std::string& data) { return XXH3_64bits(data.data(), data.size()); }
 
@@ -57,7 +58,13 @@
     m_roundTimes.emplace_back(++m_round, now);
     while (m_roundTimes.front().second + 2 * m_settings.timings.electionMax < now)
         m_roundTimes.pop_front();
+    const bool areLearnersDue = now >= m_learnerHeartbeatDue;
+    if (areLearnersDue)
+        m_learnerHeartbeatDue = now + m_settings.timings.learnerHeartbeat;
     for (auto& [host, peer] : m_peers) {
+        const Member* member = m_membership.find(host);
+        if (!areLearnersDue && !(member && (member->isVoter || member->isVoterWanted)))
+            continue;
         peer.mustSend = true;
         peer.appendsInFlight = 0; // Answers may have been lost.
     }
@@ -110,11 +117,12 @@
         .evidence = {} };
     if (peer.appendsInFlight < maxAppendsInFlight)
         request.entries = m_log.slice(peer.next, m_settings.batchBytes);
-    // So that the others can recognise an older disk without this host; its own progress with each message.
-    if (peer.mustSend || request.entries.empty())
+    // So that the others can recognise an older disk without this host; repeated now and then, as it may be lost.
+    const bool isEvidenceDue = peer.sentEvidence != m_evidence.revision() || m_round % evidenceRepeatRounds == 0;
+    if ((peer.mustSend || request.entries.empty()) && isEvidenceDue) {
         request.evidence = m_evidence.entries();
-    if (maySendPromises())
-        request.evidence.push_back({ m_settings.self, m_settings.identity, m_term, m_persistedIndex });
+        peer.sentEvidence = m_evidence.revision();
+    }
     if (peer.mode == PeerProgress::Mode::Pipeline && !request.entries.empty()) {
         peer.next += request.entries.size();
         ++peer.appendsInFlight;
