Test the calls of LogGroup

Cause: callers rely on the error codes and on when completions come. Change: seven tests, among them the time to a new leader over 200 seeds in simulated time.

--- /dev/null
+++ b/tests/consensus/LogGroupTest.cpp
@@ -0,0 +1,146 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "consensus/LogCluster.h"
+
+namespace hickoryknot {
+
+class LogGroupTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LogGroupTest);
+    CPPUNIT_TEST(worksAlone);
+    CPPUNIT_TEST(refusesWhatItCannotPropose);
+    CPPUNIT_TEST(tellsLostLeadershipFromNoLeadership);
+    CPPUNIT_TEST(refusesVoterWithoutStore);
+    CPPUNIT_TEST(completesMemberChanges);
+    CPPUNIT_TEST(gathersWritesWhileOneIsOutstanding);
+    CPPUNIT_TEST(electsWithinOneSecond);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string codeOf(const Error& error) { return errorCodeName(error.code); }
+
+    // Guards against a single host that waits for others, or forgets over a restart.
+    void worksAlone()
+    {
+        LogCluster cluster(1, 1, 0);
+        const HostId a("a");
+        cluster.run(50ms);
+        CPPUNIT_ASSERT(cluster.group(a).isLeader());
+        for (int i = 0; i < 40; ++i)
+            cluster.propose(a, "p" + std::to_string(i));
+        cluster.readBarrier(a);
+        cluster.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(40), cluster.acknowledged().size());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), cluster.completedReads());
+        cluster.crash(a);
+        cluster.start(a);
+        cluster.run(50ms);
+        CPPUNIT_ASSERT(cluster.hasConverged());
+    }
+
+    // Guards against commands that are too large, or callers that are not told who leads.
+    void refusesWhatItCannotPropose()
+    {
+        LogCluster cluster(2, 3, 1);
+        cluster.run(1s);
+        const HostId leader = *cluster.leader();
+        Error error;
+        const auto note = [&](const Expected<std::string>& result) { error = result ? Error {} : result.error(); };
+        cluster.group(leader).propose(std::string(5 << 20, 'x'), cluster.hostNow(leader), note);
+        CPPUNIT_ASSERT_EQUAL(std::string("too_large"), codeOf(error));
+        const HostId learner("d");
+        cluster.group(learner).propose("x", cluster.hostNow(learner), note);
+        CPPUNIT_ASSERT_EQUAL(std::string("not_leader"), codeOf(error));
+        CPPUNIT_ASSERT_EQUAL(leader.value(), error.message);
+        cluster.group(learner).readBarrier(
+            cluster.hostNow(learner), [&](const Expected<void>& result) { error = result.error(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("not_leader"), codeOf(error));
+        for (int i = 0; i < 20; ++i)
+            cluster.group(leader).propose(std::string(4 << 20, 'x'), cluster.hostNow(leader), note);
+        CPPUNIT_ASSERT_EQUAL(std::string("overloaded"), codeOf(error));
+    }
+
+    // Guards against an answer "was not proposed" for a command that may still be committed.
+    void tellsLostLeadershipFromNoLeadership()
+    {
+        LogCluster cluster(3, 3, 0);
+        cluster.run(1s);
+        const HostId leader = *cluster.leader();
+        for (const auto& other : cluster.hosts())
+            cluster.link().cut(leader, other);
+        Error error;
+        cluster.group(leader).propose("x", cluster.hostNow(leader),
+            [&](const Expected<std::string>& result) { error = result ? Error {} : result.error(); });
+        cluster.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), codeOf(error));
+    }
+
+    // Guards against a host without a disk that votes.
+    void refusesVoterWithoutStore()
+    {
+        DigestMachine machine;
+        LogGroupSettings settings;
+        settings.group = "log";
+        settings.self = HostId("a");
+        settings.initialMembers = { { HostId("a"), true } };
+        const auto group = LogGroup::open(settings, nullptr, machine, TimePoint(1s));
+        CPPUNIT_ASSERT(!group && group.error().code == ErrorCode::InvalidArgument);
+    }
+
+    // Guards against completions that come before the change is committed, or never.
+    void completesMemberChanges()
+    {
+        LogCluster cluster(4, 3, 1);
+        cluster.run(1s);
+        const HostId leader = *cluster.leader();
+        const HostId other = leader == HostId("a") ? HostId("b") : HostId("a");
+        std::vector<std::string> outcomes;
+        const auto note
+            = [&](const Expected<void>& result) { outcomes.push_back(result ? "done" : codeOf(result.error())); };
+        cluster.group(leader).removeMember(other, cluster.hostNow(leader), note);
+        CPPUNIT_ASSERT(outcomes.empty());
+        cluster.run(500ms);
+        cluster.group(leader).addMember(other, true, cluster.hostNow(leader), note);
+        cluster.run(2s);
+        cluster.group(leader).promote(HostId("d"), cluster.hostNow(leader), note);
+        cluster.group(leader).removeMember(HostId("zz"), cluster.hostNow(leader), note);
+        const std::vector<std::string> expected { "done", "done", "invalid_argument", "not_found" };
+        CPPUNIT_ASSERT(outcomes == expected);
+        CPPUNIT_ASSERT(cluster.group(other).mayVote());
+    }
+
+    // Guards against one sync per command.
+    void gathersWritesWhileOneIsOutstanding()
+    {
+        LogCluster cluster(5, 1, 0);
+        cluster.run(200ms);
+        LogGroup& group = cluster.group(HostId("a"));
+        group.propose("one", cluster.hostNow(HostId("a")), [](const auto&) {});
+        const auto first = group.takeWrite();
+        CPPUNIT_ASSERT(first && first->entries.size() == 1);
+        for (int i = 0; i < 9; ++i)
+            group.propose("more", cluster.hostNow(HostId("a")), [](const auto&) {});
+        CPPUNIT_ASSERT(!group.takeWrite());
+        group.written(group.performWrite(*first), cluster.hostNow(HostId("a")));
+        CPPUNIT_ASSERT_EQUAL(size_t(9), group.takeWrite()->entries.size());
+    }
+
+    // Guards against timeouts that leave a group without a leader for longer than the design allows. Simulated time:
+    // 1 to 2 ms per hop, 2 ms per sync.
+    void electsWithinOneSecond()
+    {
+        int late = 0;
+        for (uint64_t seed = 1; seed <= 200; ++seed) {
+            LogCluster cluster(seed, 3, 0);
+            cluster.run(2s);
+            cluster.crash(*cluster.leader());
+            cluster.run(1s);
+            late += cluster.leader() ? 0 : 1;
+            cluster.run(1s);
+            CPPUNIT_ASSERT(cluster.leader());
+        }
+        CPPUNIT_ASSERT_EQUAL(0, late);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogGroupTest);
+
+} // namespace hickoryknot
