--- a/tests/scheduler/FirstFitPlacer.h
+++ b/tests/scheduler/FirstFitPlacer.h
@@ -8,7 +8,7 @@
 namespace hickoryknot {
 
 /// The simplest placement: each queued task on the first worker with room, gangs whole. Stands in for the engine.
-class FirstFitPlacer final : public Placer {
+class FirstFitPlacer : public Placer {
 public:
     void setTable(const std::vector<Row>&) override { }
     void upsertWorker(const WorkerDescription& worker, TimePoint) override { m_workers[worker.worker].first = worker; }
