--- a/src/placement/DecisionLoop.cpp
+++ b/src/placement/DecisionLoop.cpp
@@ -15,8 +15,12 @@
 constexpr uint32_t maxRefusalChecks = 4;
 constexpr uint32_t maxWakes = 256;
 constexpr uint32_t maxLentTries = 32;
-// Jobs of one team that are tried past a job that does not fit.
-constexpr uint32_t queueDepth = 16;
+// Jobs of one row that are tried past jobs that do not fit, shared by the teams of the row, and bounds for each team.
+constexpr uint32_t rowDepth = 2048;
+constexpr uint32_t minQueueDepth = 16;
+constexpr uint32_t maxQueueDepth = 256;
+// Jobs looked at in order of age for overdue and urgent rows.
+constexpr uint32_t ageDepth = 16;
 // Overdue rows get one start in this many.
 constexpr uint32_t overdueTurn = 4;
 // Urgent work looks for free capacity during this part of its bound, then stops preemptible work; the rest of the bound
@@ -24,6 +28,9 @@
 constexpr int urgentPatiencePart = 4;
 // A gang for which no reservation can be made is looked at again after this.
 constexpr Duration gangRetry = 250ms;
+// Work without accelerators that should end within this may use what is set aside for free accelerators, while no work
+// with accelerators waits; such work then waits no longer than this.
+constexpr Duration longestBesideAccelerators = 30s;
 // Planning a reservation looks at every worker, so overdue rows plan at most one in this time.
 constexpr Duration reservationPause = 250ms;
 
@@ -224,7 +231,9 @@
     TeamQueue& queue = m_state.waiting[index];
     if (queue.isEmpty() || queue.blockedAt == m_state.progress)
         return Trial::Blocked;
-    for (uint32_t i = 0; i < queueDepth && queue.first + i < queue.jobs.size();) {
+    const uint32_t depth
+        = std::clamp(rowDepth / static_cast<uint32_t>(row.queues.size()), minQueueDepth, maxQueueDepth);
+    for (uint32_t i = 0; i < depth && queue.first + i < queue.jobs.size();) {
         if (!m_looksLeft || !m_searchesLeft)
             return Trial::OutOfWork;
         --m_looksLeft;
@@ -254,15 +263,13 @@
 {
     // Whether capacity is lent depends on the run time too, which blocked sizes do not show.
     JobRecord& record = m_state.jobs[job];
-    if (!m_lentTriesLeft || !m_state.settings.mechanisms.backfillsReservations || !mayRun(record, 1))
+    if (!m_lentTriesLeft || !mayRun(record, 1))
         return false;
     --m_lentTriesLeft;
-    const Choice choice = m_reservations.findLent(record, m_now);
-    if (!choice.isFound())
-        return false;
-    ++m_state.statistics.backfilledTasks;
-    place(job, choice);
-    return true;
+    const Choice choice = chooseLent(record);
+    if (choice.isFound())
+        place(job, choice);
+    return choice.isFound();
 }
 
 bool DecisionLoop::mayRun(JobRecord& record, uint32_t tasks)
@@ -299,10 +306,32 @@
     Choice choice = chooseProbe(record);
     if (!choice.isFound())
         choice = chooserFor(record).choose(m_state, record);
-    if (choice.isFound() || !m_state.settings.mechanisms.backfillsReservations)
-        return choice;
-    choice = m_reservations.findLent(record, m_now);
-    m_state.statistics.backfilledTasks += choice.isFound();
+    return choice.isFound() ? choice : chooseLent(record);
+}
+
+Choice DecisionLoop::chooseLent(const JobRecord& record)
+{
+    if (m_state.settings.mechanisms.backfillsReservations) {
+        const Choice choice = m_reservations.findLent(record, m_now);
+        m_state.statistics.backfilledTasks += choice.isFound();
+        if (choice.isFound())
+            return choice;
+    }
+    return chooseBesideAccelerators(record);
+}
+
+Choice DecisionLoop::chooseBesideAccelerators(const JobRecord& record) const
+{
+    const bool mayBorrow = !record.perTask.accelerators.count() && record.kind == JobKind::Batch
+        && !m_state.shapes.hasBlockedAccelerators() && m_state.expectedRun(record) <= longestBesideAccelerators;
+    if (!mayBorrow)
+        return {};
+    Choice choice { noIndex, "short work beside accelerators that no one waits for", 0, 0 };
+    m_state.workers.searchBesideAccelerators(record.perTask, [&](WorkerIndex worker) {
+        if (worker != record.avoidedWorker && record.perTask.fitsInto(m_state.workers[worker].open()))
+            choice.worker = worker;
+        return !choice.isFound();
+    });
     return choice;
 }
 
@@ -359,11 +388,8 @@
         return false;
     const bool isReserved = m_state.settings.mechanisms.reservesCapacity
         && m_reservations.reserve(job, ReservationKind::Gang, tasks, m_now);
-    if (!isReserved) {
-        record.notBefore = std::max(record.notBefore, m_now + gangRetry);
-        m_state.waiting.remove(m_state.jobs, m_state.rowOf(record), job);
-        m_ledger.requeue(job, m_now);
-    }
+    if (!isReserved)
+        postpone(job);
     return false;
 }
 
@@ -399,7 +425,7 @@
 JobIndex DecisionLoop::oldestEligible(const RowRecord& row)
 {
     JobIndex job = row.oldestWaiting;
-    for (uint32_t i = 0; i < queueDepth && job != noIndex; ++i) {
+    for (uint32_t i = 0; i < ageDepth && job != noIndex; ++i) {
         JobRecord& record = m_state.jobs[job];
         const uint32_t tasks = record.kind == JobKind::Gang ? static_cast<uint32_t>(record.queuedTasks.size()) : 1;
         if (!record.heldTasks && mayRun(record, tasks))
@@ -415,39 +441,78 @@
         return;
     uint32_t scansLeft = std::max(maxScannedWorkers / std::max(m_state.workers.knownCount(), 1U), 1U);
     scansLeft = std::min(scansLeft, 4U);
+    // A gang that has begun to collect goes on before all others.
+    const JobIndex collecting = m_reservations.collectingGang();
+    if (collecting != noIndex)
+        makeRoomFor(collecting, scansLeft);
     for (RowIndex index = 0; index < m_state.rows.size() && scansLeft; ++index) {
         const RowRecord& row = m_state.rows[index];
         if (!row.row.isUrgent || !row.isOpenAt(m_minuteOfDay))
             continue;
         JobIndex job = row.oldestWaiting;
-        for (uint32_t i = 0; i < queueDepth && job != noIndex && scansLeft; ++i) {
+        for (uint32_t i = 0; i < ageDepth && job != noIndex && scansLeft; ++i) {
             const JobIndex newer = m_state.jobs[job].newerInRow;
-            while (scansLeft && m_state.jobs[job].isWaiting && isLate(m_state.jobs[job])) {
-                --scansLeft;
-                if (!makeRoomFor(job))
-                    break;
-            }
+            const bool isFree = m_state.jobs[job].kind != JobKind::Gang || m_reservations.collectingGang() == noIndex;
+            if (isFree && isLate(m_state.jobs[job]))
+                makeRoomFor(job, scansLeft);
             job = newer;
         }
     }
 }
 
+void DecisionLoop::makeRoomFor(JobIndex job, uint32_t& scansLeft)
+{
+    const JobRecord& record = m_state.jobs[job];
+    if (record.kind == JobKind::Gang && scansLeft && !canMakeRoomForGang(job)) {
+        --scansLeft;
+        return;
+    }
+    while (scansLeft && record.isWaiting) {
+        --scansLeft;
+        if (!makeRoomForTask(job))
+            return;
+    }
+}
+
+bool DecisionLoop::canMakeRoomForGang(JobIndex job)
+{
+    JobRecord& record = m_state.jobs[job];
+    const auto tasks = static_cast<uint32_t>(record.queuedTasks.size());
+    if (record.heldTasks)
+        return true;
+    // Nothing is stopped for a gang that could not start even so; it waits for capacity like any other.
+    const bool isAllowed = mayRun(record, tasks);
+    if (isAllowed && m_preemption.hasRoomFor(record, tasks))
+        return true;
+    const bool isReserved = isAllowed && m_state.settings.mechanisms.reservesCapacity
+        && m_reservations.reserve(job, ReservationKind::Gang, tasks, m_now);
+    if (!isReserved)
+        postpone(job);
+    return false;
+}
+
+void DecisionLoop::postpone(JobIndex job)
+{
+    JobRecord& record = m_state.jobs[job];
+    record.notBefore = std::max(record.notBefore, m_now + gangRetry);
+    m_ledger.requeue(job, m_now);
+}
+
 bool DecisionLoop::isLate(const JobRecord& record) const
 {
     return m_now - record.queuedSince >= m_state.settings.urgentBound / urgentPatiencePart;
 }
 
-bool DecisionLoop::makeRoomFor(JobIndex job)
+bool DecisionLoop::makeRoomForTask(JobIndex job)
 {
     JobRecord& record = m_state.jobs[job];
-    if (!mayRun(record, record.heldTasks + 1))
-        return false;
-    const WorkerIndex worker = m_preemption.plan(record, m_now);
+    const bool isAllowed = mayRun(record, record.heldTasks + 1);
+    const WorkerIndex worker = isAllowed ? m_preemption.plan(record, m_now) : noIndex;
     if (worker == noIndex || !m_reservations.holdUrgent(job, worker, m_now)) {
-        // A gang that cannot be made room for wholly queues up for capacity like any other.
-        if (record.kind == JobKind::Gang && m_state.settings.mechanisms.reservesCapacity) {
+        // A gang must not sit on half of its capacity while others need it.
+        if (record.kind == JobKind::Gang) {
             m_reservations.dropJob(job, m_now);
-            m_reservations.reserve(job, ReservationKind::Gang, static_cast<uint32_t>(record.queuedTasks.size()), m_now);
+            postpone(job);
         }
         return false;
     }
--- a/src/placement/DecisionLoop.h
+++ b/src/placement/DecisionLoop.h
@@ -53,6 +53,9 @@
     bool tryGang(JobIndex);
     Choice choose(const JobRecord&);
     Choice chooseProbe(const JobRecord&);
+    /// Capacity that is reserved or set aside for others but not needed yet.
+    Choice chooseLent(const JobRecord&);
+    Choice chooseBesideAccelerators(const JobRecord&) const;
 
     // Overdue rows.
     bool isOverdue(const RowRecord&) const;
@@ -62,7 +65,11 @@
     // Urgent work.
     void makeRoomForUrgent();
     bool isLate(const JobRecord&) const;
-    bool makeRoomFor(JobIndex);
+    void makeRoomFor(JobIndex, uint32_t& scansLeft);
+    bool canMakeRoomForGang(JobIndex);
+    bool makeRoomForTask(JobIndex);
+    /// Looks at a gang again after a pause.
+    void postpone(JobIndex);
 
     // Output.
     void place(JobIndex, const Choice&);
