--- a/src/state/JobNumber.h
+++ b/src/state/JobNumber.h
@@ -16,7 +16,7 @@
     uint32_t number { 0 };
     bool isCellJob { false };
 
-    friend auto operator<=>(const JobNumber&, const JobNumber&) = default;
+    friend auto operator<=>(const JobNumber&, const JobNumber&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// `<home>:<number>`.
--- a/src/state/ZoneState.h
+++ b/src/state/ZoneState.h
@@ -26,7 +26,7 @@
     JobNumber job;
     uint32_t task { 0 };
 
-    friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+    friend auto operator<=>(const TaskKey&, const TaskKey&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One zone's replicated state: the jobs that run there, their assignments, workers, and the requests and jobs with
