--- a/tests/routing/SlotSharesTest.cpp
+++ b/tests/routing/SlotSharesTest.cpp
@@ -391,7 +391,7 @@
         CPPUNIT_ASSERT_EQUAL(uint32_t(4), renew(second, 1));
     }
 
-    // Guards against grants that come back from the past.
+    // Guards against the use of grants that are superseded or have run out.
     void staleGrantsAndAsksAreRefused()
     {
         const std::vector servers { makeServer("a", 8, 60) };
