--- /dev/null
+++ b/tests/protocol/CodecPropertyTest.cpp
@@ -0,0 +1,156 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <sstream>
+
+#include "protocol/ErrorCodec.h"
+#include "protocol/MessageSamples.h"
+
+namespace hickoryknot {
+
+using nlohmann::json;
+
+namespace {
+
+// Checks a property of a message type and a random source, without the progress lines of rc::check().
+template <typename Property> void checkEach(Property property)
+{
+    for (const auto& sample : messageSamples()) {
+        const auto result = rc::detail::checkTestable([&](uint64_t seed) {
+            pcg32 random(seed);
+            property(sample, random);
+        });
+        if (result.template is<rc::detail::SuccessResult>())
+            continue;
+        std::ostringstream text;
+        rc::detail::printResultMessage(result, text);
+        CPPUNIT_FAIL(sample.name + ": " + text.str());
+    }
+}
+
+// A refused document has a sentence that can be sent; an accepted one means the same after another round.
+void checkDecoded(const MessageSample& sample, const std::string& document)
+{
+    const auto once = sample.reencode(document);
+    if (!once) {
+        RC_ASSERT(!once.error().message.empty());
+        RC_ASSERT(json::accept(encodeError(once.error())));
+        return;
+    }
+    const auto twice = sample.reencode(*once);
+    RC_ASSERT(twice.has_value());
+    RC_ASSERT(*twice == *once);
+}
+
+std::string mutate(std::string document, pcg32& random)
+{
+    const std::vector<std::string> splices { "-1", "1.5", "1e999", "18446744073709551616", "null", "[[[[[[[[[[",
+        "{\"\":", "\"", "\xff\xfe", std::string(1, '\0'), "\\ud800", "NaN", ",", "true" };
+    for (uint32_t count = 1 + random(3); count > 0; --count) {
+        const size_t at = random(static_cast<uint32_t>(document.size() + 1));
+        const size_t length = std::min<size_t>(random(6), document.size() - at);
+        switch (random(3)) {
+        case 0:
+            document.replace(at, length, splices[random(static_cast<uint32_t>(splices.size()))]);
+            break;
+        case 1:
+            document.replace(at, length, std::string(length, static_cast<char>(random(256))));
+            break;
+        default:
+            document.insert(at, document.substr(random(static_cast<uint32_t>(document.size() + 1)), random(30)));
+        }
+    }
+    return document;
+}
+
+} // namespace
+
+class CodecPropertyTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CodecPropertyTest);
+    CPPUNIT_TEST(roundTrips);
+    CPPUNIT_TEST(survivesMutatedDocuments);
+    CPPUNIT_TEST(survivesArbitraryBytes);
+    CPPUNIT_TEST(refusesEachNumberOutOfRange);
+    CPPUNIT_TEST(refusesEachFieldOfWrongType);
+    CPPUNIT_TEST(refusesUnknownFieldByName);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against fields that are lost or altered on their way.
+    void roundTrips()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            const auto document = sample.make(random);
+            const auto again = sample.reencode(document);
+            RC_ASSERT(again.has_value());
+            RC_ASSERT(*again == document);
+        });
+    }
+
+    // Guards against crashes, and against accepting what the same decoder would refuse.
+    void survivesMutatedDocuments()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            for (int i = 0; i < 20; ++i)
+                checkDecoded(sample, mutate(sample.make(random), random));
+        });
+    }
+
+    // Guards against crashes on input that was never JSON.
+    void survivesArbitraryBytes()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            std::string bytes(random(200), ' ');
+            for (char& c : bytes)
+                c = static_cast<char>(random(256));
+            checkDecoded(sample, bytes);
+            RC_ASSERT(!sample.reencode(bytes));
+        });
+    }
+
+    // Guards against negative, fractional and overflowing numbers, and against errors that do not name the field.
+    void refusesEachNumberOutOfRange()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            const auto document = json::parse(sample.make(random));
+            for (const auto& [name, value] : document.items()) {
+                if (!value.is_number())
+                    continue;
+                for (const json& wrong : { json(-1), json(0.5), json(1e300), json("7"), json(nullptr) }) {
+                    auto changed = document;
+                    changed[name] = wrong;
+                    const auto result = sample.reencode(changed.dump());
+                    RC_ASSERT(!result && result.error().message.starts_with(name + " must be a whole number from "));
+                }
+            }
+        });
+    }
+
+    // Guards against a missing check of type anywhere in the document.
+    void refusesEachFieldOfWrongType()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            const auto document = json::parse(sample.make(random));
+            for (const auto& field : document.items()) {
+                auto changed = document;
+                changed[field.key()] = json::array({ json::array() });
+                const auto result = sample.reencode(changed.dump());
+                RC_ASSERT(!result && result.error().message.starts_with(field.key()));
+            }
+        });
+    }
+
+    // Guards against misspelt optional fields that silently do nothing.
+    void refusesUnknownFieldByName()
+    {
+        checkEach([](const MessageSample& sample, pcg32& random) {
+            auto document = json::parse(sample.make(random));
+            document["homeZnoe"] = "z1";
+            const auto result = sample.reencode(document.dump());
+            RC_ASSERT(!result && result.error().message == "homeZnoe is not a field of this message");
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecPropertyTest);
+
+} // namespace hickoryknot
