--- a/src/app/LoadReport.cpp
+++ b/src/app/LoadReport.cpp
@@ -42,11 +42,11 @@
     const ordered_json document = describe(*this);
     for (const auto& [name, value] : document.items()) {
         if (!value.is_object()) {
-            text += name + " " + value.dump() + "\n";
+            text.append(name).append(" ").append(value.dump()).append("\n");
             continue;
         }
         for (const auto& [part, figure] : value.items())
-            text += name + "." + part + " " + figure.dump() + "\n";
+            text.append(name).append(".").append(part).append(" ").append(figure.dump()).append("\n");
     }
     return text;
 }
--- a/src/protocol/ProtocolLimits.h
+++ b/src/protocol/ProtocolLimits.h
@@ -29,7 +29,7 @@
 /// Processors of one worker or task: 10,000 cores.
 inline constexpr int64_t maxMillicores = 10'000'000;
 /// Memory of one worker or task: 1 PiB.
-inline constexpr int64_t maxMebibytes = 1024 * 1024 * 1024;
+inline constexpr int64_t maxMebibytes = int64_t { 1024 } * 1024 * 1024;
 inline constexpr int64_t maxAccelerators = 10'000;
 /// Factor of the sums of a zone over the limits of one worker.
 inline constexpr int64_t maxWorkersPerSum = 10'000;
