--- a/src/placement/ReservationBook.h
+++ b/src/placement/ReservationBook.h
@@ -33,6 +33,8 @@
     /// Gives up reservations that count on a worker.
     void dropWorker(WorkerIndex, TimePoint now);
     const Reservation* find(JobIndex) const;
+    /// The urgent gang that holds capacity for a part of its tasks; noIndex if none does.
+    JobIndex collectingGang() const;
     bool holdsReady(const Reservation&) const;
 
 private:
@@ -50,6 +52,8 @@
     void collectOnWorker(WorkerIndex, const Resources& need, uint32_t tasks, TimePoint now);
     void addHold(Reservation&, WorkerIndex, uint32_t tasks);
     void releaseHolds(Reservation&);
+    /// Work on held capacity must end before this.
+    static TimePoint dueOf(const Reservation&);
     void updateDue(WorkerIndex);
     void drop(Reservation&, TimePoint now);
     bool mayStart(const Reservation&, uint32_t minuteOfDay) const;
