--- a/tests/protocol/CodecPropertyTest.cpp
+++ b/tests/protocol/CodecPropertyTest.cpp
@@ -34,7 +34,8 @@
         };
         SilentListener listener;
         const rc::detail::TestParams parameters { .seed = propertySeed };
-        const auto result = rc::detail::checkTestable(holds, rc::detail::TestMetadata(), parameters, listener);
+        const auto result = rc::detail::checkProperty(
+            rc::detail::toProperty(holds), rc::detail::TestMetadata(), parameters, listener, {});
         if (result.template is<rc::detail::SuccessResult>())
             continue;
         std::ostringstream text;
