Measure the slope as the fastest of five equal runs

Cause: the engine time at 50 workers, the base of the slope, varied between 3 and 9 ms between runs on the shared machine, which moved the whole figure. Change: each size runs five times and the fastest counts; sums in 64 bits as the linter asks. Ruled out: a longer load at 50 workers, which would change the figure's meaning. Conclusion: the base no longer depends on one disturbed run.

--- a/bench/placement/Main.cpp
+++ b/bench/placement/Main.cpp
@@ -146,6 +146,8 @@
     }
 }
 
+constexpr int slopeRuns = 5;
+
 // Cost of a whole load that grows with the cell, against n log n from the smallest cell.
 void runSlope(const Figures& figures, uint64_t seed)
 {
@@ -153,7 +155,13 @@
     for (const uint32_t workers : { 50U, 200U, 960U, 4000U }) {
         Mix mix = designSize(seed, workers, 30s, DesignFault::None);
         mix.name = "slope";
-        const WorldResult result = runMix(mix, {}, seed);
+        WorldResult result = runMix(mix, {}, seed);
+        // The fastest of some equal runs, since other load on the machine only adds time.
+        for (int repeat = 1; repeat < slopeRuns; ++repeat) {
+            WorldResult other = runMix(mix, {}, seed);
+            if (other.engineSeconds < result.engineSeconds)
+                result = std::move(other);
+        }
         const std::string label = fmt::format("{}_workers", workers);
         const double perUnit = result.engineSeconds / (workers * std::log2(workers));
         firstPerUnit = firstPerUnit > 0 ? firstPerUnit : perUnit;
--- a/bench/placement/Mix.cpp
+++ b/bench/placement/Mix.cpp
@@ -145,7 +145,7 @@
         // Jobs of teams with a tight quota wait for it, so they have a row of their own.
         const char* row = team < boundedTeams ? "bounded" : builder.below(3) ? "batch" : "analysis";
         Arrival& arrival = builder.add(mix, row, at, tasks,
-            size(need * 1000, need * 1024 + builder.below(5) * 512, isAccelerated ? 1 : 0),
+            size(need * 1000, need * 1024 + int64_t { builder.below(5) } * 512, isAccelerated ? 1 : 0),
             builder.between(1s, 9200ms));
         arrival.job.team = TeamId("team" + std::to_string(team));
         at += builder.gap(580 * scale / 5);
@@ -201,7 +201,7 @@
     for (int i = 0; i < 260; ++i) {
         const int64_t halfCores = 1 + builder.below(12);
         builder.add(mix, "folios", loadStart, 4 + builder.below(12),
-            size(halfCores * 500, halfCores * 768 + builder.below(8) * 256),
+            size(halfCores * 500, halfCores * 768 + int64_t { builder.below(8) } * 256),
             builder.between(std::chrono::minutes(10), std::chrono::minutes(70)));
     }
     mix.lowerBoundSeconds = lowerBound(mix, RowName("folios"));
@@ -240,7 +240,7 @@
     Builder builder(seed);
     // 74 services of 10 tasks: 740 of 3,700 running tasks.
     for (uint32_t i = 0; i < std::max(74 * scale, 1.0); ++i)
-        builder.add(mix, "web", loadStart, 10, size((2 + builder.below(5)) * 1000, 6144), 0s).job.kind
+        builder.add(mix, "web", loadStart, 10, size(int64_t { 2 + builder.below(5) } * 1000, 6144), 0s).job.kind
             = JobKind::Service;
     addBatchOfDesign(mix, builder, scale, end);
     for (TimePoint at = loadStart; at < end; at += builder.gap(1))
