Look at fewer blocked jobs per call

Change: 1,024 instead of 2,048 jobs per row, at least 8 instead of 16 per team, 8 instead of 32 tries of lent capacity per call.

--- a/src/placement/DecisionLoop.cpp
+++ b/src/placement/DecisionLoop.cpp
@@ -14,10 +14,10 @@
 constexpr uint32_t maxScannedWorkers = 4096;
 constexpr uint32_t maxRefusalChecks = 4;
 constexpr uint32_t maxWakes = 256;
-constexpr uint32_t maxLentTries = 32;
+constexpr uint32_t maxLentTries = 8;
 // Jobs of one row that are tried past jobs that do not fit, shared by the teams of the row, and bounds for each team.
-constexpr uint32_t rowDepth = 2048;
-constexpr uint32_t minQueueDepth = 16;
+constexpr uint32_t rowDepth = 1024;
+constexpr uint32_t minQueueDepth = 8;
 constexpr uint32_t maxQueueDepth = 256;
 // Jobs looked at in order of age for overdue and urgent rows.
 constexpr uint32_t ageDepth = 16;
