Add scenarios with real processes

Cause: what must hold was proved for the parts, not for hosts that die, pause or are cut off. Ruled out: a cluster simulator.

--- a/src/app/CommandContext.cpp
+++ b/src/app/CommandContext.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-ExitCode exitCodeOf(OutcomeKind kind)
+ExitCode exitCodeOfKind(OutcomeKind kind)
 {
     switch (kind) {
     case OutcomeKind::Done:
@@ -30,7 +30,7 @@
     return ExitCode::Failure;
 }
 
-ExitCode exitCodeOf(const Error& error)
+ExitCode exitCodeOfError(const Error& error)
 {
     switch (error.code) {
     case ErrorCode::InvalidArgument:
@@ -77,7 +77,7 @@
     if (response->status >= 400) {
         const Error error = decodeError(response->body);
         std::cerr << "hickoryknot: " << error.message << " (" << errorCodeName(error.code) << ")\n";
-        m_exitCode = exitCodeOf(error);
+        m_exitCode = exitCodeOfError(error);
         return std::nullopt;
     }
     auto document = nlohmann::json::parse(response->body, nullptr, false);
@@ -105,8 +105,13 @@
         if (const std::string answer = outcome.value("answer", ""); !answer.empty())
             std::cout << answer << '\n';
     }
-    const auto kind = parseOutcomeKind(name);
-    return kind ? exitCodeOf(*kind) : ExitCode::Failure;
+    return exitCodeOf(outcome);
+}
+
+ExitCode CommandContext::exitCodeOf(const nlohmann::json& outcome)
+{
+    const auto kind = parseOutcomeKind(outcome.value("outcome", ""));
+    return kind ? exitCodeOfKind(*kind) : ExitCode::Failure;
 }
 
 void CommandContext::printList(
--- a/src/app/CommandContext.h
+++ b/src/app/CommandContext.h
@@ -34,6 +34,9 @@
     /// Prints an outcome and returns the exit code that stands for it.
     ExitCode printOutcome(const nlohmann::json& outcome) const;
 
+    /// The exit code that stands for an outcome.
+    static ExitCode exitCodeOf(const nlohmann::json& outcome);
+
     /// Prints `document` as JSON, or the list under `key` as a table with these columns.
     void printList(
         const nlohmann::json& document, const std::string& key, const std::vector<std::string>& columns) const;
--- a/src/app/GroupRunner.cpp
+++ b/src/app/GroupRunner.cpp
@@ -60,7 +60,8 @@
         return;
     }
     // Entries of a later term may be applied in the same step; whoever still counts on leading must know before.
-    const bool isFromLeader = std::holds_alternative<AppendRequest>(message->body) || std::holds_alternative<SnapshotChunk>(message->body);
+    const bool isFromLeader
+        = std::holds_alternative<AppendRequest>(message->body) || std::holds_alternative<SnapshotChunk>(message->body);
     if (m_leadingTerm && isFromLeader && message->term > *m_leadingTerm)
         endLeadership(now);
     m_group->step(*message, now);
--- a/src/app/JobCommands.cpp
+++ b/src/app/JobCommands.cpp
@@ -66,11 +66,9 @@
             std::cout << ", zone " << status["zone"].get<std::string>();
         std::cout << '\n';
     }
-    if (!status.contains("outcome") || !status["outcome"].is_object())
+    if (!status.contains("result"))
         return ExitCode::Success;
-    if (context.wantsJson())
-        return ExitCode::Success;
-    return context.printOutcome(status["outcome"]);
+    return context.wantsJson() ? CommandContext::exitCodeOf(status["result"]) : context.printOutcome(status["result"]);
 }
 
 } // namespace
--- a/src/app/PeerService.cpp
+++ b/src/app/PeerService.cpp
@@ -21,10 +21,16 @@
 PeerReply PeerService::heard(const PeerMessage& message, TimePoint now)
 {
     if (message.host != m_context.settings.host && m_context.peers.heard(message, now)) {
-        m_context.directory[message.host] = HostAddress { .host = message.host,
+        // The settings' address of a host goes before what it says of itself: it may be reached through another one.
+        const HostAddress told { .host = message.host,
             .zone = message.zone,
             .endpoint = { message.address, message.port },
             .hasDisk = message.storeId != 0 };
+        const auto& configured = m_context.settings.hosts;
+        const bool isConfigured = std::any_of(
+            configured.begin(), configured.end(), [&](const auto& host) { return host.host == message.host; });
+        if (!isConfigured)
+            m_context.directory[message.host] = told;
     }
     PeerReply reply;
     reply.host = m_context.settings.host;
--- /dev/null
+++ b/tests/processes/ProcessCell.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/HttpMessage.h"
+#include "processes/ChildProcess.h"
+
+namespace hickoryknot {
+
+/// Hosts of three zones a, b and c on loopback with stand-in workers, backend servers and links between the zones.
+/// Hosts are named a1, a2, b1 and so on.
+class ProcessCell {
+public:
+    ProcessCell(size_t hostsPerZone, size_t workersPerZone, size_t serversPerZone, std::vector<std::string> workerFlags,
+        std::vector<std::string> serverFlags);
+    ~ProcessCell();
+
+    void startAll();
+    void startHost(const std::string& host);
+    /// Ends a host at once and waits for it.
+    void killHost(const std::string& host);
+    /// Begins a planned stop and returns the exit code.
+    std::optional<int> stopHost(const std::string& host);
+    void signalHost(const std::string& host, int number);
+    void eraseData(const std::string& host);
+    bool isRunning(const std::string& host);
+
+    void killWorkers(const std::string& zone);
+    void signalWorkers(const std::string& zone, int number);
+
+    /// Orders of the links that leave or enter a zone: /cut or /restore.
+    void orderLinks(const std::string& zone, const std::string& order, bool leaving, bool entering);
+
+    struct Answer {
+        int status { 0 };
+        nlohmann::json body;
+    };
+    /// Asks one host, or the first that answers if `host` is empty. Status 0: no answer.
+    Answer call(
+        const std::string& host, const std::string& method, const std::string& target, const nlohmann::json& body = {});
+
+    const std::vector<std::string>& hosts() const { return m_hosts; }
+    const std::vector<std::string>& zones() const { return m_zones; }
+    size_t workersPerZone() const { return m_workersPerZone; }
+    size_t serversPerZone() const { return m_serversPerZone; }
+    const std::string& folder() const { return m_folder; }
+
+private:
+    std::string hostsSetting(const std::string& zone) const;
+    std::string entriesOf(const std::string& zone) const;
+    void startStandIns(
+        const std::string& kind, const std::string& zone, size_t count, const std::vector<std::string>& flags);
+
+    std::vector<std::string> m_zones { "a", "b", "c" };
+    std::vector<std::string> m_hosts;
+    size_t m_workersPerZone;
+    size_t m_serversPerZone;
+    std::vector<std::string> m_workerFlags;
+    std::vector<std::string> m_serverFlags;
+    std::string m_folder;
+    std::map<std::string, uint16_t> m_ports;
+    /// Ports through which a zone reaches a host of another zone: "a>b1".
+    std::map<std::string, uint16_t> m_linkPorts;
+    /// Control ports of the links from one zone to another: "a>b".
+    std::map<std::string, uint16_t> m_controlPorts;
+    std::map<std::string, std::unique_ptr<ChildProcess>> m_processes;
+};
+
+} // namespace hickoryknot
