--- a/src/core/NamedId.h
+++ b/src/core/NamedId.h
@@ -35,7 +35,7 @@
         return true;
     }
 
-    friend auto operator<=>(const NamedId&, const NamedId&) = default;
+    friend auto operator<=>(const NamedId&, const NamedId&) = default; // NOLINT(modernize-use-nullptr)
     friend bool operator==(const NamedId&, const NamedId&) = default;
 
 private:
