--- a/bench/net/HttpBench.cpp
+++ b/bench/net/HttpBench.cpp
@@ -75,6 +75,6 @@
 {
     EchoRun(50'000, 1, 64).run();
     EchoRun(100'000, 32, 64).run();
-    EchoRun(20'000, 32, 16 * 1024).run();
+    EchoRun(20'000, 32, size_t { 16 } * 1024).run();
     return 0;
 }
