--- a/src/net/HttpServerConnection.cpp
+++ b/src/net/HttpServerConnection.cpp
@@ -88,6 +88,7 @@
     http::response<http::string_body> response;
     size_t droppedBytes { 0 };
     bool isIdle { false };
+    bool hasSentRequest { false };
     bool isInProgress { false };
     bool isClosed { false };
 };
@@ -133,10 +134,14 @@
     if (m_state->buffer.size() > 0)
         return readHeader();
     m_state->isIdle = true;
-    m_state->stream.expires_after(m_context->settings.idleTimeout);
+    // A connection that has not sent anything yet gets less time: peers behind a cut link leave such connections
+    // behind.
+    const auto& settings = m_context->settings;
+    m_state->stream.expires_after(m_state->hasSentRequest ? settings.idleTimeout : settings.readTimeout);
     m_state->stream.async_read_some(
         m_state->buffer.prepare(readChunkBytes), unlessFailed([](HttpServerConnection& self, size_t bytes) {
             self.m_state->isIdle = false;
+            self.m_state->hasSentRequest = true;
             self.m_state->buffer.commit(bytes);
             self.readHeader();
         }));
