Propose the start of a request again after a lost answer

Change: a start may be proposed again. Of all proposals for one id only the first in the log is granted; the others are told what is known, so a second start cannot follow. Ruled out: a lost record; the outcome was recorded before the first answer was given.

--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -343,10 +343,11 @@
             armTimer(answeredAt);
         });
     };
+    // Proposing again after a lost answer is safe: of all proposals for one id only the first in the log is granted.
     const bool isPosted
         = m_control.tryPost([homeZone = request.homeZone, payload = std::move(payload), deadline = action.deadline,
                                 done](ControlPlane& plane, TimePoint at, WallTime) {
-              plane.proposeForRequest(homeZone, payload, Proposer::Repeat::Forbidden, deadline, at, done);
+              plane.proposeForRequest(homeZone, payload, Proposer::Repeat::Allowed, deadline, at, done);
           });
     if (!isPosted) {
         RouterActions actions;
