--- a/src/app/ApiClient.cpp
+++ b/src/app/ApiClient.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <optional>
 
+#include "net/EndpointText.h"
 #include "net/HttpClient.h"
 
 namespace hickoryknot {
@@ -42,8 +43,7 @@
         if (result.response)
             return std::move(result.response);
         last = Error { ErrorCode::Unavailable,
-            "entry host " + endpoint.address + ":" + std::to_string(endpoint.port) + ": "
-                + result.response.error().message };
+            "entry host " + formatEndpoint(endpoint) + ": " + result.response.error().message };
         if (result.wasSent && !isIdempotent) {
             last.message += "; the request may have arrived, ask again with the same request id";
             break;
--- a/src/app/ApiServer.cpp
+++ b/src/app/ApiServer.cpp
@@ -163,7 +163,7 @@
             return;
         }
         call.request = std::move(request);
-        (this->*route.handle)(std::move(call));
+        (this->*route.handle)(call);
         return;
     }
     if (isKnownPath)
@@ -174,7 +174,7 @@
         call.respond(errorResponse({ ErrorCode::NotFound, "there is no " + path }));
 }
 
-void ApiServer::answerRequest(Call call, bool isFromPeer)
+void ApiServer::answerRequest(Call& call, bool isFromPeer)
 {
     auto submission = decodeRequestSubmission(call.request.body);
     if (!isAccepted(call, submission))
@@ -183,11 +183,11 @@
         [respond = std::move(call.respond)](const Outcome& outcome) { respond(jsonResponse(encodeOutcome(outcome))); });
 }
 
-void ApiServer::handleRequest(Call call) { answerRequest(std::move(call), false); }
+void ApiServer::handleRequest(Call& call) { answerRequest(call, false); }
 
-void ApiServer::handleForwardedRequest(Call call) { answerRequest(std::move(call), true); }
+void ApiServer::handleForwardedRequest(Call& call) { answerRequest(call, true); }
 
-void ApiServer::handleSubmitJob(Call call)
+void ApiServer::handleSubmitJob(Call& call)
 {
     auto submission = decodeJobSubmission(call.request.body);
     if (!isAccepted(call, submission))
@@ -222,7 +222,7 @@
     });
 }
 
-void ApiServer::handleJobStatus(Call call)
+void ApiServer::handleJobStatus(Call& call)
 {
     askControl(call.respond, [this, call](ControlPlane& plane, TimePoint, WallTime) {
         const auto answer = plane.jobs().status(JobId(call.argument));
@@ -230,7 +230,7 @@
     });
 }
 
-void ApiServer::handleJobWait(Call call)
+void ApiServer::handleJobWait(Call& call)
 {
     const std::string text = queryValue(call.query, "ms");
     uint64_t milliseconds = 0;
@@ -250,7 +250,7 @@
     });
 }
 
-void ApiServer::handleJobExplain(Call call)
+void ApiServer::handleJobExplain(Call& call)
 {
     askControl(call.respond, [this, call](ControlPlane& plane, TimePoint now, WallTime wall) {
         const auto answer = plane.jobs().explain(JobId(call.argument), now, wall);
@@ -274,26 +274,26 @@
         });
 }
 
-void ApiServer::handleJobCancel(Call call)
+void ApiServer::handleJobCancel(Call& call)
 {
     cancelJobs(call, { .request = RequestId(makeRequestId("cancel")), .jobs = { JobId(call.argument) } });
 }
 
-void ApiServer::handleCancelBatch(Call call)
+void ApiServer::handleCancelBatch(Call& call)
 {
     auto batch = decodeCancelBatch(call.request.body);
     if (isAccepted(call, batch))
         cancelJobs(call, std::move(*batch));
 }
 
-void ApiServer::handleTableGet(Call call)
+void ApiServer::handleTableGet(Call& call)
 {
     askControl(call.respond, [this, respond = call.respond](ControlPlane& plane, TimePoint, WallTime) {
         reply(respond, jsonResponse(plane.table().get()));
     });
 }
 
-void ApiServer::handleTableCheck(Call call)
+void ApiServer::handleTableCheck(Call& call)
 {
     askControl(call.respond, [this, call](ControlPlane& plane, TimePoint, WallTime) {
         const auto result = plane.table().check(call.request.body);
@@ -301,7 +301,7 @@
     });
 }
 
-void ApiServer::handleTableSet(Call call)
+void ApiServer::handleTableSet(Call& call)
 {
     askControl(call.respond, [this, call](ControlPlane& plane, TimePoint now, WallTime wall) {
         plane.table().set(call.request.body, now, wall, [this, call](const TableService::Answer& answer) {
@@ -311,7 +311,7 @@
     });
 }
 
-void ApiServer::handleWorkerHeartbeat(Call call)
+void ApiServer::handleWorkerHeartbeat(Call& call)
 {
     auto heartbeat = decodeWorkerHeartbeat(call.request.body);
     if (!isAccepted(call, heartbeat))
@@ -340,7 +340,7 @@
         });
 }
 
-void ApiServer::handleServerHeartbeat(Call call)
+void ApiServer::handleServerHeartbeat(Call& call)
 {
     auto heartbeat = decodeServerHeartbeat(call.request.body);
     if (!isAccepted(call, heartbeat))
@@ -358,7 +358,7 @@
             { ErrorCode::Unavailable, "zone " + heartbeat->zone.value() + " has no host that is known here" }));
 }
 
-void ApiServer::handleHosts(Call call)
+void ApiServer::handleHosts(Call& call)
 {
     askControl(call.respond, [this, respond = call.respond](ControlPlane& plane, TimePoint now, WallTime) {
         reply(respond, jsonResponse(plane.hostsJson(now)));
@@ -388,8 +388,7 @@
     }
 };
 
-void ApiServer::listOfZones(
-    const Call& call, const char* key, std::function<void(std::function<void(std::string)>)> ownList)
+void ApiServer::listOfZones(const Call& call, const char* key, const OwnList& ownList)
 {
     auto lists = std::make_shared<ZoneLists>();
     lists->key = key;
@@ -416,7 +415,7 @@
     ownList([lists, zone = m_settings.zone](const std::string& list) { lists->zoneAnswered(zone, list); });
 }
 
-void ApiServer::handleWorkers(Call call)
+void ApiServer::handleWorkers(Call& call)
 {
     // The leader of the zone knows how its workers are; other hosts only know the record.
     const auto leader = m_links.state().zoneLeader;
@@ -425,7 +424,7 @@
         m_links.forward(*leader, call.request, gatherDeadline, call.respond);
         return;
     }
-    listOfZones(call, "workers", [this, call, leader](std::function<void(std::string)> done) {
+    listOfZones(call, "workers", [this, call, leader](const TakeList& done) {
         if (leader && *leader != m_settings.host && HostLinks::hops(call.request) == 0) {
             m_links.forward(
                 *leader, call.request, gatherDeadline, [done](const HttpResponse& response) { done(response.body); });
@@ -439,13 +438,12 @@
     });
 }
 
-void ApiServer::handleServers(Call call)
+void ApiServer::handleServers(Call& call)
 {
-    listOfZones(call, "servers",
-        [this](const std::function<void(std::string)>& done) { done(m_requests.serversJson(steadyNow())); });
+    listOfZones(call, "servers", [this](const TakeList& done) { done(m_requests.serversJson(steadyNow())); });
 }
 
-void ApiServer::handleDrain(Call call)
+void ApiServer::handleDrain(Call& call)
 {
     call.respond(jsonResponse(nlohmann::json { { "host", m_settings.host.value() },
         { "sentence",
@@ -455,7 +453,7 @@
     m_startDrain();
 }
 
-void ApiServer::handleHealth(Call call)
+void ApiServer::handleHealth(Call& call)
 {
     const auto& state = m_links.state();
     const bool isServing = !m_refusesNewWork;
@@ -501,7 +499,7 @@
     });
 }
 
-void ApiServer::handleMetrics(Call call)
+void ApiServer::handleMetrics(Call& call)
 {
     updateCounters();
     const bool isPosted = m_report.metricsText([this, respond = call.respond](std::string text) {
@@ -512,7 +510,7 @@
         call.respond(errorResponse({ ErrorCode::Overloaded, "the reporting thread is too busy" }));
 }
 
-void ApiServer::handleBurnBuckets(Call call)
+void ApiServer::handleBurnBuckets(Call& call)
 {
     const bool isPosted = m_report.encodedBuckets([this, respond = call.respond](std::string bytes) {
         reply(respond,
@@ -529,7 +527,7 @@
     size_t outstanding { 1 };
 };
 
-void ApiServer::handleBurn(Call call)
+void ApiServer::handleBurn(Call& call)
 {
     static const std::map<std::string, const char*> contentTypes { { "text", "text/plain" },
         { "json", "application/json" }, { "html", "text/html" } };
@@ -568,7 +566,7 @@
     finishOne();
 }
 
-void ApiServer::handleLogMessage(Call call)
+void ApiServer::handleLogMessage(Call& call)
 {
     call.respond(jsonResponse("{}"));
     if (call.argument != "cell" && call.argument != "zone")
@@ -578,7 +576,7 @@
                           ControlPlane& plane, TimePoint now, WallTime) { plane.logMessageArrived(group, body, now); });
 }
 
-void ApiServer::handleProposal(Call call)
+void ApiServer::handleProposal(Call& call)
 {
     auto proposal = decodeForwardedProposal(call.request.body);
     if (!isAccepted(call, proposal))
@@ -598,7 +596,7 @@
         });
 }
 
-void ApiServer::handlePeer(Call call)
+void ApiServer::handlePeer(Call& call)
 {
     auto message = decodePeerMessage(call.request.body);
     if (!isAccepted(call, message))
@@ -609,7 +607,7 @@
         });
 }
 
-void ApiServer::handleZoneExchange(Call call)
+void ApiServer::handleZoneExchange(Call& call)
 {
     auto message = decodeZoneExchange(call.request.body);
     if (!isAccepted(call, message))
--- a/src/app/ApiServer.h
+++ b/src/app/ApiServer.h
@@ -57,7 +57,7 @@
     struct Route {
         std::string_view method;
         std::string_view path;
-        void (ApiServer::*handle)(Call);
+        void (ApiServer::*handle)(Call&);
         /// New work is refused while the host drains.
         bool isNewWork;
     };
@@ -66,38 +66,40 @@
 
     void dispatch(HttpRequest, Responder);
 
-    void handleRequest(Call);
-    void handleForwardedRequest(Call);
-    void handleSubmitJob(Call);
-    void handleJobStatus(Call);
-    void handleJobWait(Call);
-    void handleJobExplain(Call);
-    void handleJobCancel(Call);
-    void handleCancelBatch(Call);
-    void handleTableGet(Call);
-    void handleTableCheck(Call);
-    void handleTableSet(Call);
-    void handleWorkerHeartbeat(Call);
-    void handleServerHeartbeat(Call);
-    void handleHosts(Call);
-    void handleWorkers(Call);
-    void handleServers(Call);
-    void handleDrain(Call);
-    void handleHealth(Call);
-    void handleMetrics(Call);
-    void handleBurn(Call);
-    void handleBurnBuckets(Call);
-    void handleLogMessage(Call);
-    void handleProposal(Call);
-    void handlePeer(Call);
-    void handleZoneExchange(Call);
+    void handleRequest(Call&);
+    void handleForwardedRequest(Call&);
+    void handleSubmitJob(Call&);
+    void handleJobStatus(Call&);
+    void handleJobWait(Call&);
+    void handleJobExplain(Call&);
+    void handleJobCancel(Call&);
+    void handleCancelBatch(Call&);
+    void handleTableGet(Call&);
+    void handleTableCheck(Call&);
+    void handleTableSet(Call&);
+    void handleWorkerHeartbeat(Call&);
+    void handleServerHeartbeat(Call&);
+    void handleHosts(Call&);
+    void handleWorkers(Call&);
+    void handleServers(Call&);
+    void handleDrain(Call&);
+    void handleHealth(Call&);
+    void handleMetrics(Call&);
+    void handleBurn(Call&);
+    void handleBurnBuckets(Call&);
+    void handleLogMessage(Call&);
+    void handleProposal(Call&);
+    void handlePeer(Call&);
+    void handleZoneExchange(Call&);
 
     struct ZoneLists;
+    using TakeList = std::function<void(const std::string&)>;
+    using OwnList = std::function<void(const TakeList&)>;
     struct BurnGather;
 
-    void answerRequest(Call, bool isFromPeer);
+    void answerRequest(Call&, bool isFromPeer);
     void cancelJobs(const Call&, CancelBatch);
-    void listOfZones(const Call&, const char* key, std::function<void(std::function<void(std::string)>)> ownList);
+    void listOfZones(const Call&, const char* key, const OwnList&);
     void updateCounters();
 
     /// False: the body was malformed and the error has been answered.
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -4,7 +4,6 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <sstream>
 #include <string_view>
 
 #include "app/CommandContext.h"
@@ -14,6 +13,7 @@
 #include "app/OperatorCommands.h"
 #include "app/ServeCommand.h"
 #include "app/TableCommands.h"
+#include "net/EndpointText.h"
 
 namespace hickoryknot {
 
@@ -101,18 +101,10 @@
         text = flags["entry"].as<std::string>();
     else if (const char* value = std::getenv("HICKORYKNOT_ENTRY"))
         text = value;
-    std::vector<Endpoint> endpoints;
-    std::istringstream parts(text);
-    for (std::string part; std::getline(parts, part, ',');) {
-        auto endpoint = parseEndpoint(part);
-        if (!endpoint)
-            return tl::unexpected(endpoint.error());
-        endpoints.push_back(std::move(*endpoint));
-    }
-    if (endpoints.empty())
+    if (text.empty())
         return makeError(
             ErrorCode::InvalidArgument, "no entry host is given; use --entry ip:port or HICKORYKNOT_ENTRY");
-    return endpoints;
+    return parseEndpoints(text);
 }
 
 ExitCode runClientCommand(const CommandDescription& command, int argc, char** argv)
--- a/src/app/ControlContext.cpp
+++ b/src/app/ControlContext.cpp
@@ -15,7 +15,7 @@
 
 std::optional<HostId> ControlContext::findCellHost() const
 {
-    const auto leader = cellGroup->group().leader();
+    auto leader = cellGroup->group().leader();
     if (leader && *leader != settings.host)
         return leader;
     return std::nullopt;
@@ -24,7 +24,7 @@
 std::optional<HostId> ControlContext::findZoneHost(const ZoneId& zoneId, TimePoint now) const
 {
     if (zoneId == settings.zone) {
-        const auto leader = zoneGroup->group().leader();
+        auto leader = zoneGroup->group().leader();
         return leader && *leader != settings.host ? leader : std::nullopt;
     }
     if (const auto* leader = peers.zoneLeader(zoneId, now))
--- a/src/app/ControlPlane.cpp
+++ b/src/app/ControlPlane.cpp
@@ -5,6 +5,7 @@
 
 #include "app/EventLog.h"
 #include "app/SteadyTime.h"
+#include "net/EndpointText.h"
 #include "scheduler/EnginePlacer.h"
 
 namespace hickoryknot {
@@ -39,6 +40,7 @@
     if (voters.size() % 2 == 0 && voters.size() > 2)
         voters.pop_back();
     std::vector<InitialMember> members;
+    members.reserve(hosts.size());
     for (const auto& host : hosts)
         members.push_back({ host.host, std::find(voters.begin(), voters.end(), host.host) != voters.end() });
     return members;
@@ -303,7 +305,7 @@
         nlohmann::json item {
             { "host", host.value() },
             { "zone", address.zone.value() },
-            { "address", address.endpoint.address + ":" + std::to_string(address.endpoint.port) },
+            { "address", formatEndpoint(address.endpoint) },
             { "state",
                 isSilent         ? "silent"
                     : isDraining ? "draining"
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -92,8 +92,8 @@
                 });
             },
         .sendProposal
-        = [this](const HostId& host, const std::string& group, std::string payload, Duration deadline,
-              auto completion) { sendProposal(host, group, std::move(payload), deadline, std::move(completion)); },
+        = [this](const HostId& host, const std::string& group, const std::string& payload, Duration deadline,
+              auto completion) { sendProposal(host, group, payload, deadline, std::move(completion)); },
         .sendPeerMessage = [this](const HostId& host, const PeerMessage& message,
                                auto completion) { sendPeerMessage(host, message, std::move(completion)); },
         .postToControl = [this](std::function<void()> work) { m_control.post(std::move(work)); },
--- a/src/app/HostSettings.cpp
+++ b/src/app/HostSettings.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "net/EndpointText.h"
+
 namespace hickoryknot {
 
 namespace {
@@ -200,24 +201,6 @@
 
 } // namespace
 
-Expected<Endpoint> parseEndpoint(const std::string& text)
-{
-    const size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return makeError(ErrorCode::InvalidArgument, "address '" + text + "' has no port; write ip:port");
-    std::string address = text.substr(0, colon);
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
-        address = address.substr(1, address.size() - 2);
-    boost::system::error_code error;
-    boost::asio::ip::make_address(address, error);
-    if (error)
-        return makeError(ErrorCode::InvalidArgument, "address '" + text + "' is not a numeric IP address with a port");
-    const auto port = parseWhole("port", text.substr(colon + 1), 0, 65535);
-    if (!port)
-        return makeError(ErrorCode::InvalidArgument, "address '" + text + "' has a port outside 0 to 65535");
-    return Endpoint { address, static_cast<uint16_t>(*port) };
-}
-
 Expected<HostAddress> parseHostAddress(const std::string& text)
 {
     std::string rest = text;
--- a/src/app/HostSettings.h
+++ b/src/app/HostSettings.h
@@ -40,9 +40,6 @@
     Duration drainBound { 60s };
 };
 
-/// Parses `ip:port` or `[ipv6]:port`. InvalidArgument names what is wrong.
-Expected<Endpoint> parseEndpoint(const std::string&);
-
 /// Parses `id@zone=ip:port` with `+disk` behind it for a host with a data folder.
 Expected<HostAddress> parseHostAddress(const std::string&);
 
--- a/src/app/JobService.cpp
+++ b/src/app/JobService.cpp
@@ -241,7 +241,8 @@
             });
     }
     for (auto& [zone, jobs] : zoneJobs) {
-        auto& [places, numbers] = jobs;
+        const auto places = jobs.first;
+        auto& numbers = jobs.second;
         m_context.proposer->propose(m_context.zoneTarget(zone),
             encodeZoneCommand(CancelZoneJobs { std::move(numbers), atMs }), Proposer::Repeat::Allowed,
             now + submitDeadline, now,
--- a/src/app/PeerService.cpp
+++ b/src/app/PeerService.cpp
@@ -61,7 +61,7 @@
     const PeerMessage message = makeMessage(now);
     for (const auto& host : chooseTargets())
         m_send(host, message,
-            [this, host](TimePoint sentAt, Expected<PeerReply> reply) { answered(host, sentAt, reply); });
+            [this, host](TimePoint sentAt, const Expected<PeerReply>& reply) { answered(host, sentAt, reply); });
 }
 
 PeerMessage PeerService::makeMessage(TimePoint now)
--- a/src/app/TableCommands.cpp
+++ b/src/app/TableCommands.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cxxopts.hpp>
+#include <fmt/format.h>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -95,7 +96,7 @@
         auto value = nlohmann::json::parse(text == "yes" ? "true" : text == "no" ? "false" : text, nullptr, false);
         if (value.is_discarded())
             return makeError(ErrorCode::InvalidArgument,
-                "'" + text + "' is no value for column " + name + "; allowed: " + std::string(column->range));
+                fmt::format("'{}' is no value for column {}; allowed: {}", text, name, column->range));
         row[name] = std::move(value);
     }
     return row;
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -1,14 +1,13 @@
 #include "consensus/ReplicatedLog.h"
 
-#include <xxhash.h>
-
 #include "core/Assert.h"
+#include "core/Hash.h"
 
 namespace hickoryknot {
 
 namespace {
 
-uint64_t hashOf(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
+uint64_t hashOf(const std::string& text) { return hashBytes(text); }
 
 // Requests of an older term are answered, so that their sender learns of the newer term.
 bool isRequest(const LogMessageBody& body)
--- a/src/consensus/ReplicatedLogReplication.cpp
+++ b/src/consensus/ReplicatedLogReplication.cpp
@@ -1,8 +1,7 @@
 #include "consensus/ReplicatedLog.h"
 
-#include <xxhash.h>
-
 #include "core/Assert.h"
+#include "core/Hash.h"
 
 namespace hickoryknot {
 
@@ -11,7 +10,7 @@
 constexpr uint64_t maxAppendsInFlight = 64; // Covers 16 MiB of entries per round trip at the default batch size.
 constexpr uint64_t evidenceRepeatRounds = 8; // About every 600 ms.
 
-uint64_t checksumOf(const std::string& data) { return XXH3_64bits(data.data(), data.size()); }
+uint64_t checksumOf(const std::string& data) { return hashBytes(data); }
 
 } // namespace
 
--- a/src/log/StoreIdentityFile.cpp
+++ b/src/log/StoreIdentityFile.cpp
@@ -1,7 +1,8 @@
 #include "log/StoreIdentityFile.h"
 
+#include "core/Hash.h"
+
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace hickoryknot {
 
@@ -15,7 +16,7 @@
 {
     json.erase("checksum");
     const std::string text = json.dump();
-    return XXH3_64bits(text.data(), text.size());
+    return hashBytes(text);
 }
 
 } // namespace
--- a/src/routing/RouterRows.cpp
+++ b/src/routing/RouterRows.cpp
@@ -1,8 +1,9 @@
 #include "routing/RouterRows.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
 #include <limits>
-#include <xxhash.h>
 
 namespace hickoryknot {
 
@@ -56,7 +57,7 @@
 {
     if (!row.maxRunning)
         return std::numeric_limits<uint32_t>::max();
-    const uint64_t rotation = XXH3_64bits(row.name.value().data(), row.name.value().size()) % m_hosts;
+    const uint64_t rotation = hashBytes(row.name.value()) % m_hosts;
     const bool getsRemainder = (m_rank + rotation) % m_hosts < row.maxRunning % m_hosts;
     return row.maxRunning / m_hosts + (getsRemainder ? 1 : 0);
 }
--- a/src/routing/SharePartition.cpp
+++ b/src/routing/SharePartition.cpp
@@ -1,7 +1,8 @@
 #include "routing/SharePartition.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace hickoryknot {
 
@@ -25,7 +26,7 @@
 {
     if (seat >= m_seats)
         return {};
-    const uint64_t rotation = XXH3_64bits(server.value().data(), server.value().size());
+    const uint64_t rotation = hashBytes(server.value());
     if ((seat + rotation % m_seats) % m_seats >= baseShares(m_seats, capacity))
         return {};
     return { 1, baseConnections(m_seats, capacity.connections) };
--- a/src/routing/SlotShares.cpp
+++ b/src/routing/SlotShares.cpp
@@ -1,8 +1,9 @@
 #include "routing/SlotShares.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
 #include <tuple>
-#include <xxhash.h>
 
 namespace hickoryknot {
 
@@ -290,7 +291,7 @@
     }
 
     // Each slot goes to the host that is furthest behind; equal ones take turns by server.
-    const uint64_t rotation = XXH3_64bits(server.server.value().data(), server.server.value().size()) % hosts;
+    const uint64_t rotation = hashBytes(server.server.value()) % hosts;
     for (uint32_t slot = 0; slot < rest; ++slot) {
         size_t best = rotation;
         for (size_t step = 1; step < hosts; ++step) {
--- a/src/state/CellState.cpp
+++ b/src/state/CellState.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include "core/Assert.h"
+#include "core/Hash.h"
+#include "state/RequestExecution.h"
 #include "state/StateFields.h"
 
 namespace hickoryknot {
@@ -97,7 +98,7 @@
 uint64_t CellState::digest() const
 {
     const auto bytes = snapshot();
-    return XXH3_64bits(bytes.data(), bytes.size());
+    return hashBytes(bytes);
 }
 
 const HostRecord* CellState::findHost(const HostId& host) const
@@ -367,24 +368,13 @@
 CommandResult CellState::run(const StartRequest& command)
 {
     advanceTo(command.atMs);
-    const auto standing = m_data.requests.standing(command.request, command.contentHash, m_data.nowMs);
-    if (standing == RequestStanding::Known) {
-        const auto* record = m_data.requests.find(command.request);
-        return RequestKnown { .isRunning = record->phase == RequestPhase::Started, .outcome = record->outcome };
-    }
-    if (standing != RequestStanding::New)
-        return standingError(standing, command.request);
-    m_data.requests.start(command.request, command.contentHash, command.host, command.deadlineMs);
-    return RequestStarted {};
+    return startRequest(m_data.requests, command, m_data.nowMs);
 }
 
 CommandResult CellState::run(const EndRequest& command)
 {
     advanceTo(command.atMs);
-    auto first = m_data.requests.end(command.request, command.outcome, m_data.nowMs);
-    if (!first)
-        return first.error();
-    return RequestKnown { .outcome = std::move(*first) };
+    return endRequest(m_data.requests, command, m_data.nowMs);
 }
 
 CommandResult CellState::run(const AbandonRequests& command)
--- a/src/state/JobSpec.cpp
+++ b/src/state/JobSpec.cpp
@@ -1,7 +1,8 @@
 #include "state/JobSpec.h"
 
+#include "core/Hash.h"
+
 #include <fmt/format.h>
-#include <xxhash.h>
 
 namespace hickoryknot {
 
@@ -38,7 +39,7 @@
         static_cast<int>(submission.kind), submission.tasks, submission.perTask.millicores.count(),
         submission.perTask.mebibytes.count(), submission.perTask.accelerators.count(), submission.expectedRun.count(),
         repeatable, submission.homeZone.value_or(ZoneId()).value(), submission.command);
-    return XXH3_64bits(text.data(), text.size());
+    return hashBytes(text);
 }
 
 } // namespace hickoryknot
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
-#include <xxhash.h>
 
 #include "core/Assert.h"
+#include "core/Hash.h"
 #include "table/RowColumns.h"
 
 namespace hickoryknot {
@@ -160,7 +160,7 @@
     }
     for (const auto& name : change.removed)
         text += "-" + name.value() + "\n";
-    return XXH3_64bits(text.data(), text.size());
+    return hashBytes(text);
 }
 
 } // namespace hickoryknot
