--- a/scripts/run-cell.sh
+++ b/scripts/run-cell.sh
@@ -57,9 +57,9 @@
 run hosts
 run workers
 run table set lookup priority=90 targetWaitMs=50 cutOff=keep
-run table set folio hours=always preemptible=yes
-run request --row lookup --body "one goalie rod"
-run request --row default --not-repeatable --body "one memorial order"
+run table set night hours=always preemptible=yes
+run request --row lookup --body "one part"
+run request --row default --not-repeatable --body "one order"
 for kind in service batch gang; do
     tasks=3
     command=run:500
--- a/src/app/ApiServer.cpp
+++ b/src/app/ApiServer.cpp
@@ -215,9 +215,9 @@
             return;
         }
         // What is known here is the answer if the owner cannot be asked.
-        m_links.forward(*host, call.request, deadline, [respond = call.respond, own](HttpResponse response) {
+        m_links.forward(*host, call.request, deadline, [respond = call.respond, own](const HttpResponse& response) {
             const bool isOwnerSilent = response.status == httpStatus(ErrorCode::Unavailable);
-            respond(isOwnerSilent && own.status == 200 ? own : std::move(response));
+            respond(isOwnerSilent && own.status == 200 ? own : response);
         });
     });
 }
