Repeat the hand-over while draining, and know refusals of forwarded requests

A transfer that fails because the other voter is behind was tried once, so the stop waited for its bound of 60 s; a forwarded request that a draining host refused counted as possibly run. Change: hand-over is repeated every 300 ms; draining and overloaded answers mean surely not started. Ruled out: a shorter drain bound, which would cut off requests in progress.

--- a/src/app/ControlPlane.cpp
+++ b/src/app/ControlPlane.cpp
@@ -21,6 +21,9 @@
 /// Leases and timeouts are looked after this often; short against every lease and against urgent work's 8 s.
 constexpr Duration schedulePeriod = 40ms;
 
+/// Longer than a transfer of leadership between two voters that are up to date.
+constexpr Duration handOverPause = 300ms;
+
 constexpr size_t maxCellVoters = 5;
 
 /// The cell's first voters: hosts with a disk, one zone after the other, so that they spread over the zones.
@@ -177,6 +180,9 @@
     m_jobs.tick(now);
     m_table.tick(now);
     reportTable(now);
+    // The first try fails while the other voter is behind; without another one the stop would wait for its bound.
+    if (m_context.isDraining && now >= m_nextHandOver)
+        handOver(now);
     if (now >= m_nextPublish) {
         m_nextPublish = now + publishInterval;
         publishState(now);
@@ -238,12 +244,18 @@
 {
     m_context.isDraining = true;
     EventLog::write(EventLevel::Info, Event::DrainStarted, "this host takes no new work");
-    m_context.cellGroup->handOver(now);
-    m_context.zoneGroup->handOver(now);
+    handOver(now);
     m_jobs.releaseWaiters();
     publishState(now);
 }
 
+void ControlPlane::handOver(TimePoint now)
+{
+    m_nextHandOver = now + handOverPause;
+    m_context.cellGroup->handOver(now);
+    m_context.zoneGroup->handOver(now);
+}
+
 bool ControlPlane::hasHandedOver() const
 {
     const auto hasOtherVoter = [&](const LogGroup& group) {
--- a/src/app/ControlPlane.h
+++ b/src/app/ControlPlane.h
@@ -68,6 +68,7 @@
     void zoneLeadershipChanged(bool isLeader, uint64_t term, TimePoint now);
     void runSchedulers(TimePoint now, WallTime wall);
     void proposeBatch(ProposalBatch, bool isFromZone, TimePoint now);
+    void handOver(TimePoint now);
     void publishState(TimePoint now);
     void reportTable(TimePoint now);
 
@@ -80,6 +81,7 @@
     std::shared_ptr<const std::vector<Row>> m_publishedRows;
     uint64_t m_publishedVersion { 0 };
     TimePoint m_nextPublish { TimePoint::min() };
+    TimePoint m_nextHandOver { TimePoint::min() };
     TimePoint m_nextSchedule { TimePoint::min() };
     uint64_t m_scheduledApplied { 0 };
     bool m_hadTableLease { false };
--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -9,6 +9,7 @@
 #include "app/NetworkLoop.h"
 #include "app/SteadyTime.h"
 #include "core/Hash.h"
+#include "protocol/ErrorCodec.h"
 #include "protocol/OutcomeCodec.h"
 #include "protocol/ProtocolLimits.h"
 #include "protocol/RequestSubmissionCodec.h"
@@ -97,6 +98,20 @@
     return { IntentVerdict::Unavailable, {} };
 }
 
+/// The outcome that an entry host of another zone gave, or its error.
+Expected<Outcome> readForwardedOutcome(const HttpResponse& response)
+{
+    if (response.status != 200)
+        return tl::unexpected(decodeError(response.body));
+    return decodeOutcome(response.body);
+}
+
+/// A host that drains or has too much to do refuses a request before anything of it starts.
+bool isRefusedBeforeStart(const Error& error)
+{
+    return error.code == ErrorCode::Draining || error.code == ErrorCode::Overloaded;
+}
+
 } // namespace
 
 RequestPath::RequestPath(
@@ -400,13 +415,13 @@
     m_links.send(*host, std::move(request), copy.deadline, [this, ticket](const HttpClientResult& result) {
         const TimePoint answeredAt = steadyNow();
         RouterActions actions;
-        const auto outcome = result.response && result.response->status == 200
-            ? decodeOutcome(result.response->body)
-            : Expected<Outcome>(makeError(ErrorCode::Unavailable, ""));
+        const auto outcome = result.response ? readForwardedOutcome(*result.response)
+                                             : Expected<Outcome>(tl::unexpected(result.response.error()));
         if (outcome)
             m_router.forwardAnswered(ticket, *outcome, answeredAt, actions);
         else
-            m_router.forwardFailed(ticket, result.wasSent, answeredAt, actions);
+            m_router.forwardFailed(
+                ticket, result.wasSent && !isRefusedBeforeStart(outcome.error()), answeredAt, actions);
         run(actions);
         armTimer(answeredAt);
     });
