Give the placement engine's worker and failure score names of their own

Cause: read-through. Two types named WorkerRecord (placement, state) and two named FailureScore (placement, routing) stood in one namespace and were linked into one program; the linker may take a template made for one for the other, so this is undefined behaviour, though no test showed it. Change: PlacementWorker and PlacementFailureScore; two unused declarations of RequestPath are gone. Ruled out: further pairs; a search over all headers finds no other type name twice.

--- a/src/app/RequestPath.h
+++ b/src/app/RequestPath.h
@@ -55,8 +55,6 @@
     std::string serversJson(TimePoint now) const;
 
 private:
-    struct Perform;
-
     void run(RouterActions&);
     void perform(const SendToServer&);
     void perform(const RecordStart&);
@@ -84,7 +82,6 @@
     SlotShares m_slotShares;
     boost::asio::steady_timer m_timer;
     std::unordered_map<Ticket, Reply> m_replies;
-    std::map<ZoneId, uint32_t> m_freeSlotsOfZones;
     std::vector<StartSample> m_samples;
     std::map<RowName, Duration> m_targetWaits;
     uint64_t m_tableVersion { 0 };
--- a/src/placement/DecisionLoop.cpp
+++ b/src/placement/DecisionLoop.cpp
@@ -136,7 +136,7 @@
 {
     m_readyProbes.clear();
     for (const WorkerIndex worker : m_state.probation) {
-        WorkerRecord& record = m_state.workers[worker];
+        PlacementWorker& record = m_state.workers[worker];
         if (!record.isKnown || record.isLeaving || record.runs || record.nextProbeAt > m_now)
             continue;
         m_readyProbes.push_back(worker);
--- a/src/placement/Digest.cpp
+++ b/src/placement/Digest.cpp
@@ -32,7 +32,7 @@
 void addWorkers(Numbers& numbers, const EngineState& state)
 {
     for (WorkerIndex index = 0; index < state.workers.size(); ++index) {
-        const WorkerRecord& worker = state.workers[index];
+        const PlacementWorker& worker = state.workers[index];
         numbers.add(state.workers.name(index).value(), worker.rack, worker.runs, worker.isKnown, worker.isLeaving,
             worker.isOnProbation, worker.failures.value(), worker.nextProbeAt, worker.holdDue);
         addResources(numbers, worker.capacity);
--- a/src/placement/Explanation.cpp
+++ b/src/placement/Explanation.cpp
@@ -94,7 +94,7 @@
 
 void Explanation::addRun(const Run& run)
 {
-    const WorkerRecord& worker = m_state.workers[run.worker];
+    const PlacementWorker& worker = m_state.workers[run.worker];
     add(fmt::format("Task {} has run on worker {} in rack {} for {}.", run.task,
         m_state.workers.name(run.worker).value(), m_state.workers.rackName(worker.rack).value(),
         describe(m_now - run.startedAt)));
@@ -271,7 +271,7 @@
     Resources most;
     Resources held;
     for (WorkerIndex worker = 0; worker < m_state.workers.size(); ++worker) {
-        const WorkerRecord& record = m_state.workers[worker];
+        const PlacementWorker& record = m_state.workers[worker];
         held += record.held;
         if (!record.isOpen())
             continue;
--- a/src/placement/JobRecord.h
+++ b/src/placement/JobRecord.h
@@ -6,8 +6,8 @@
 #include "core/Ids.h"
 #include "core/Resources.h"
 #include "core/Time.h"
-#include "placement/FailureScore.h"
 #include "placement/Indices.h"
+#include "placement/PlacementFailureScore.h"
 #include "placement/RunEstimate.h"
 #include "placement/WaitCause.h"
 #include "protocol/JobSubmission.h"
@@ -63,7 +63,7 @@
     bool needsFitCheck { false };
 
     // Failures and measurements.
-    FailureScore failures;
+    PlacementFailureScore failures;
     uint32_t failuresInRow { 0 };
     /// The worker of the last failure; avoided while another one fits.
     WorkerIndex avoidedWorker { noIndex };
--- a/src/placement/PackChooser.cpp
+++ b/src/placement/PackChooser.cpp
@@ -10,7 +10,7 @@
 constexpr uint32_t maxCompared = 16;
 
 // How badly the task would use the worker: what stays free, and how lopsided; lower is better.
-double costOf(const WorkerRecord& worker, const JobRecord& job)
+double costOf(const PlacementWorker& worker, const JobRecord& job)
 {
     const auto share = [](int64_t part, int64_t whole) { return whole > 0 ? static_cast<double>(part) / whole : 0; };
     const Resources left = worker.open() - job.perTask;
--- a/src/placement/FailureScore.h
+++ b/src/placement/PlacementFailureScore.h
@@ -4,7 +4,7 @@
 
 /// How surely a worker or a job is the cause of failures, from 0 (never) to 1 (always). Each failure counts by how
 /// little the other side is to blame, so a failing job does not spoil workers nor a failing worker jobs.
-class FailureScore {
+class PlacementFailureScore {
 public:
     /// `otherScore` is the score of the other side; `weight` is below 1 for evidence that repeats earlier evidence.
     void fail(double otherScore, double weight = 1)
--- a/src/placement/WorkerRecord.h
+++ b/src/placement/PlacementWorker.h
@@ -2,13 +2,13 @@
 
 #include "core/Resources.h"
 #include "core/Time.h"
-#include "placement/FailureScore.h"
 #include "placement/Indices.h"
+#include "placement/PlacementFailureScore.h"
 
 namespace hickoryknot {
 
 /// State of one worker inside the engine.
-struct WorkerRecord {
+struct PlacementWorker {
     Resources capacity;
     /// Capacity minus declared sizes of its tasks; below zero after adopting tasks of a worker that shrank.
     Resources free;
@@ -23,7 +23,7 @@
     uint32_t runs { 0 };
     /// Sum of the measured processor use of its tasks.
     Millicores used;
-    FailureScore failures;
+    PlacementFailureScore failures;
     /// The job whose failure counted last; its next failures here say little more.
     JobIndex lastFailedJob { noIndex };
     TimePoint nextProbeAt;
--- a/src/placement/PreemptionPlanner.cpp
+++ b/src/placement/PreemptionPlanner.cpp
@@ -11,7 +11,7 @@
     WorkerIndex best = noIndex;
     double leastLoss = 0;
     for (WorkerIndex worker = 0; worker < m_state.workers.size(); ++worker) {
-        const WorkerRecord& record = m_state.workers[worker];
+        const PlacementWorker& record = m_state.workers[worker];
         if (!record.isOpen() || !job.perTask.fitsInto(record.capacity - record.heldUrgent))
             continue;
         double loss = 0;
@@ -30,7 +30,7 @@
 {
     uint64_t places = 0;
     for (WorkerIndex worker = 0; worker < m_state.workers.size() && places < tasks; ++worker) {
-        const WorkerRecord& record = m_state.workers[worker];
+        const PlacementWorker& record = m_state.workers[worker];
         if (!record.isOpen())
             continue;
         Resources available = record.free - record.heldUrgent;
@@ -45,7 +45,7 @@
 
 bool PreemptionPlanner::planOn(WorkerIndex worker, const Resources& need, double& loss, TimePoint now)
 {
-    const WorkerRecord& record = m_state.workers[worker];
+    const PlacementWorker& record = m_state.workers[worker];
     // Capacity reserved for gangs and overdue tasks is used before anything is stopped.
     Resources available = record.free - record.heldUrgent;
     m_candidates.clear();
--- a/src/placement/ReservationBook.cpp
+++ b/src/placement/ReservationBook.cpp
@@ -180,7 +180,7 @@
     else
         reservation.holds.push_back({ worker, tasks });
     const Resources amount = m_state.jobs[reservation.job].perTask * tasks;
-    WorkerRecord& record = m_state.workers[worker];
+    PlacementWorker& record = m_state.workers[worker];
     record.held += amount;
     if (reservation.kind == ReservationKind::Urgent)
         record.heldUrgent += amount;
@@ -195,7 +195,7 @@
     while (!reservation.holds.empty()) {
         const Hold hold = reservation.holds.back();
         reservation.holds.pop_back();
-        WorkerRecord& worker = m_state.workers[hold.worker];
+        PlacementWorker& worker = m_state.workers[hold.worker];
         worker.held -= need * hold.tasks;
         if (reservation.kind == ReservationKind::Urgent)
             worker.heldUrgent -= need * hold.tasks;
@@ -212,7 +212,7 @@
 
 void ReservationBook::updateDue(WorkerIndex worker)
 {
-    WorkerRecord& record = m_state.workers[worker];
+    PlacementWorker& record = m_state.workers[worker];
     record.holdDue = TimePoint::max();
     if (record.held == Resources {})
         return;
@@ -231,7 +231,7 @@
     const Resources& need = m_state.jobs[reservation.job].perTask;
     return std::all_of(reservation.holds.begin(), reservation.holds.end(), [&](const Hold& hold) {
         // Urgent tasks are served first where both count on the same worker.
-        const WorkerRecord& worker = m_state.workers[hold.worker];
+        const PlacementWorker& worker = m_state.workers[hold.worker];
         const Resources others = reservation.kind == ReservationKind::Urgent ? Resources {} : worker.heldUrgent;
         return (need * hold.tasks).fitsInto(worker.free - others);
     });
@@ -308,7 +308,7 @@
     JobRecord& record = m_state.jobs[job];
     for (size_t i = 0; i < reservation.holds.size();) {
         Hold& hold = reservation.holds[i];
-        WorkerRecord& worker = m_state.workers[hold.worker];
+        PlacementWorker& worker = m_state.workers[hold.worker];
         while (hold.tasks && record.perTask.fitsInto(worker.free)) {
             --hold.tasks;
             --record.heldTasks;
@@ -350,7 +350,7 @@
         if (!reservation.isUsed() || !reservation.isLent || end > reservation.due)
             continue;
         for (const Hold& hold : reservation.holds) {
-            const WorkerRecord& worker = m_state.workers[hold.worker];
+            const PlacementWorker& worker = m_state.workers[hold.worker];
             if (worker.isOpen() && end <= worker.holdDue && job.perTask.fitsInto(worker.free))
                 return { hold.worker, "expected to end before reserved capacity is needed", 0, 0 };
             if (++looks == maxLentWorkers)
--- a/src/placement/TaskEndings.cpp
+++ b/src/placement/TaskEndings.cpp
@@ -132,7 +132,7 @@
 void TaskEndings::blame(JobIndex job, WorkerIndex worker, TimePoint startedAt, TimePoint now)
 {
     JobRecord& record = m_state.jobs[job];
-    WorkerRecord& onWorker = m_state.workers[worker];
+    PlacementWorker& onWorker = m_state.workers[worker];
     const double workerScore = onWorker.failures.value();
     const bool isRepeated = onWorker.lastFailedJob == job;
     onWorker.failures.fail(record.failures.value(), isRepeated ? repeatedEvidence : 1);
@@ -150,7 +150,7 @@
 
 void TaskEndings::startProbation(WorkerIndex worker, TimePoint now)
 {
-    WorkerRecord& record = m_state.workers[worker];
+    PlacementWorker& record = m_state.workers[worker];
     // Each failed probe doubles the wait before the next.
     const Duration previous = record.isOnProbation ? record.probeDelay * 2 : Duration(1s);
     record.probeDelay = std::min<Duration>(previous, longestProbeWait);
@@ -166,7 +166,7 @@
 
 void TaskEndings::endProbationIfProven(WorkerIndex worker)
 {
-    WorkerRecord& record = m_state.workers[worker];
+    PlacementWorker& record = m_state.workers[worker];
     if (!record.isOnProbation)
         return;
     // A probe that succeeds calls for the next one at once.
--- a/src/placement/TaskLedger.cpp
+++ b/src/placement/TaskLedger.cpp
@@ -51,7 +51,7 @@
 void TaskLedger::book(JobIndex job, uint32_t task, Run run, TimePoint startedAt)
 {
     JobRecord& record = m_state.jobs[job];
-    WorkerRecord& worker = m_state.workers[run.worker];
+    PlacementWorker& worker = m_state.workers[run.worker];
     run.job = job;
     run.task = task;
     run.need = record.perTask;
@@ -84,7 +84,7 @@
 {
     const Run run = m_state.runs[index];
     JobRecord& record = m_state.jobs[run.job];
-    WorkerRecord& worker = m_state.workers[run.worker];
+    PlacementWorker& worker = m_state.workers[run.worker];
     unlink(index);
     worker.free += run.need;
     worker.used -= run.used;
@@ -115,7 +115,7 @@
     ++m_state.releases;
     const WorkerTable& workers = m_state.workers;
     // Work may also start as a probe, on lent capacity or beside accelerators, which the open capacity does not show.
-    const WorkerRecord& record = workers[worker];
+    const PlacementWorker& record = workers[worker];
     const bool isSpecial
         = record.isOnProbation || record.held != Resources {} || record.open().accelerators.count() > 0;
     const auto mayFit
@@ -175,7 +175,7 @@
 void TaskLedger::link(RunIndex index)
 {
     Run& run = m_state.runs[index];
-    WorkerRecord& worker = m_state.workers[run.worker];
+    PlacementWorker& worker = m_state.workers[run.worker];
     run.next = worker.firstRun;
     if (run.next != noIndex)
         m_state.runs[run.next].previous = index;
--- a/src/placement/WorkerTable.cpp
+++ b/src/placement/WorkerTable.cpp
@@ -12,7 +12,7 @@
 
 bool WorkerTable::announce(WorkerIndex worker, const Resources& capacity, const RackId& rack, bool isLeaving)
 {
-    WorkerRecord& record = m_records[worker];
+    PlacementWorker& record = m_records[worker];
     const bool isSame = record.isKnown && record.capacity == capacity && record.isLeaving == isLeaving
         && m_racks.name(record.rack) == rack;
     if (isSame)
@@ -45,7 +45,7 @@
 
 void WorkerTable::forget(WorkerIndex worker)
 {
-    WorkerRecord& record = m_records[worker];
+    PlacementWorker& record = m_records[worker];
     if (!record.isKnown)
         return;
     --m_knownCount;
@@ -61,7 +61,7 @@
 
 void WorkerTable::reindex(WorkerIndex worker)
 {
-    const WorkerRecord& record = m_records[worker];
+    const PlacementWorker& record = m_records[worker];
     const bool hasAccelerators = record.isOpen() && record.open().accelerators.count() > 0;
     if (!record.isOpen()) {
         m_plain.remove(worker);
@@ -81,7 +81,7 @@
     m_plain.put(worker, open);
 }
 
-Resources WorkerTable::setAside(const WorkerRecord& record) const
+Resources WorkerTable::setAside(const PlacementWorker& record) const
 {
     const int64_t free = record.open().accelerators.count();
     if (!m_protectsAccelerators || free <= 0)
--- a/src/placement/WorkerTable.h
+++ b/src/placement/WorkerTable.h
@@ -6,7 +6,7 @@
 #include "core/Ids.h"
 #include "placement/CapacityGrid.h"
 #include "placement/Interner.h"
-#include "placement/WorkerRecord.h"
+#include "placement/PlacementWorker.h"
 
 namespace hickoryknot {
 
@@ -30,8 +30,8 @@
     const WorkerId& name(WorkerIndex worker) const { return m_names.name(worker); }
     const RackId& rackName(RackIndex rack) const { return m_racks.name(rack); }
 
-    WorkerRecord& operator[](WorkerIndex worker) { return m_records[worker]; }
-    const WorkerRecord& operator[](WorkerIndex worker) const { return m_records[worker]; }
+    PlacementWorker& operator[](WorkerIndex worker) { return m_records[worker]; }
+    const PlacementWorker& operator[](WorkerIndex worker) const { return m_records[worker]; }
     uint32_t size() const { return static_cast<uint32_t>(m_records.size()); }
     uint32_t racks() const { return static_cast<uint32_t>(m_rackWorkers.size()); }
     const std::vector<WorkerIndex>& workersOfRack(RackIndex rack) const { return m_rackWorkers[rack]; }
@@ -50,7 +50,7 @@
     /// What `need` may use on the worker: not reserved, and not set aside for free accelerators if it needs none.
     Resources openFor(WorkerIndex worker, const Resources& need) const
     {
-        const WorkerRecord& record = m_records[worker];
+        const PlacementWorker& record = m_records[worker];
         return need.accelerators.count() ? record.open() : record.open() - setAside(record);
     }
     bool fits(WorkerIndex worker, const Resources& need) const
@@ -95,13 +95,13 @@
 
 private:
     void countCapacity(const Resources&, bool isAdded);
-    Resources setAside(const WorkerRecord&) const;
+    Resources setAside(const PlacementWorker&) const;
     void setRack(WorkerIndex, const RackId&);
 
     bool m_protectsAccelerators;
     Interner<WorkerId> m_names;
     Interner<RackId> m_racks;
-    std::vector<WorkerRecord> m_records;
+    std::vector<PlacementWorker> m_records;
     std::vector<std::vector<WorkerIndex>> m_rackWorkers;
     uint32_t m_knownCount { 0 };
     Resources m_total;
