Keep a voter with a full disk listed, and let a removed host with the longest log stand

Change: a voter that answers without a store counts for nothing but stays listed; only another store means a lost disk. A host stands while it is a voter in the committed list or a later one, and counts its own vote only if the latest lists it.

--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -111,7 +111,7 @@
         evaluateIdentity(now);
     }
     if (m_role != Role::Leader) {
-        if (now >= m_electionDue && mayVote())
+        if (now >= m_electionDue && mayStand())
             startPreVote(now);
         return;
     }
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -139,6 +139,7 @@
     void evaluateIdentity(TimePoint now);
     void handle(const IdentityCheck&, const LogMessage&, TimePoint now);
     void handle(const IdentityVerdict&, const LogMessage&, TimePoint now);
+    bool mayStand() const;
     bool isKnownIdentity(const HostId&, StoreId) const;
     bool isCountedVoter(const HostId&, StoreId) const;
     void noteEvidence(const HostId&, const StoreIdentity&, Term, LogIndex);
--- a/src/consensus/ReplicatedLogElection.cpp
+++ b/src/consensus/ReplicatedLogElection.cpp
@@ -31,7 +31,9 @@
 {
     m_role = Role::PreCandidate;
     m_leader = HostId();
-    m_votes = { m_settings.self };
+    m_votes.clear();
+    if (mayVote())
+        m_votes.insert(m_settings.self);
     // Others may have heard the lost leader a little later, so the question is repeated soon.
     m_electionDue = now + m_settings.timings.heartbeat + randomUpTo(m_settings.timings.heartbeat);
     requestVotes(true, false, 0);
@@ -68,9 +70,10 @@
 
 void ReplicatedLog::countOwnVote(TimePoint now)
 {
-    if (m_role != Role::Candidate || m_persistedSequence < m_ownVoteSequence || !mayVote())
+    if (m_role != Role::Candidate || m_persistedSequence < m_ownVoteSequence)
         return;
-    m_votes.insert(m_settings.self);
+    if (mayVote())
+        m_votes.insert(m_settings.self);
     if (hasVoteQuorum())
         becomeLeader(now);
 }
--- a/src/consensus/ReplicatedLogIdentity.cpp
+++ b/src/consensus/ReplicatedLogIdentity.cpp
@@ -15,6 +15,20 @@
         && m_membership.isVoter(m_settings.self, m_settings.identity.store);
 }
 
+bool ReplicatedLog::mayStand() const
+{
+    if (!maySendPromises() || mustWaitForLeader())
+        return false;
+    // A host whose removal is in its log but not committed may hold the longest log, so nobody else may be able to win.
+    for (auto change = m_membershipHistory.rbegin(); change != m_membershipHistory.rend(); ++change) {
+        if (change->membership.isVoter(m_settings.self, m_settings.identity.store))
+            return true;
+        if (change->index <= m_commitIndex)
+            break;
+    }
+    return mayVote();
+}
+
 void ReplicatedLog::sendIdentityChecks(TimePoint now)
 {
     m_identityResendDue = now + m_settings.timings.heartbeat;
--- a/src/consensus/ReplicatedLogMembers.cpp
+++ b/src/consensus/ReplicatedLogMembers.cpp
@@ -129,7 +129,8 @@
 }
 
 // A voter that answers with another store has lost what it promised. It becomes a learner in one change, and a voter
-// with its new store in another.
+// with its new store in another. A voter without a store has only lost the use of its disk: its answers do not count,
+// but it stays listed, since what it has acknowledged is still on the disk and may be the only other copy.
 void ReplicatedLog::replaceChangedStore(TimePoint now)
 {
     if (!checkChangeAllowed())
@@ -137,6 +138,7 @@
     for (const auto& member : m_membership.members()) {
         const auto peer = m_peers.find(member.host);
         if (!member.isVoter || peer == m_peers.end() || !peer->second.hasAnswered
+            || peer->second.identity.store == StoreId::None
             || isKnownIdentity(member.host, peer->second.identity.store))
             continue;
         Membership changed = m_membership;
