Leave assignments of a later leader alone

Cause, from a trace of seed 283: a leader of term 16, paused and replaced, woke and got a heartbeat that listed the end of an assignment of term 17. It did not know that assignment, took the end for recorded and acknowledged it. The worker forgot the end, and the leader of term 17, whose start command had overtaken other answers, took the task for never started and started it again. A fencing token in the worker, or confirming only recorded ends, would have prevented it.

Change: ends and running tasks with an epoch that the local state has not given out are neither acknowledged nor stopped.

Before: ClusterSafetyTest seed 283 and the new ZoneSchedulerTest::replacedLeaderLeavesLaterAssignmentsAlone fail. After: both pass.

--- a/src/scheduler/WorkerDesk.cpp
+++ b/src/scheduler/WorkerDesk.cpp
@@ -210,6 +210,9 @@
         const bool isHis = known != m_views.end() && known->second.worker == heartbeat.worker
             && known->second.incarnation == heartbeat.incarnation && taskId(known->second) == running.task;
         if (!isHis) {
+            // An assignment that this state does not know yet belongs to a later leader.
+            if (!m_state.isKnownEpoch(running.epoch))
+                continue;
             session.strays.push_back({ .task = running.task, .epoch = running.epoch, .checkpoint = false });
             continue;
         }
@@ -227,6 +230,9 @@
         const bool isHis
             = known != m_views.end() && known->second.worker == heartbeat.worker && taskId(known->second) == ended.task;
         if (!isHis) {
+            // Unknown here: a later leader has yet to record this end, and would miss it if it were acknowledged.
+            if (!m_state.isKnownEpoch(ended.epoch))
+                continue;
             // Its end is recorded, or it was given up; either way there is nothing more to report.
             session.acknowledged.push_back(ended.task);
             session.hasNews = true;
--- a/src/state/ZoneState.h
+++ b/src/state/ZoneState.h
@@ -66,6 +66,9 @@
     std::optional<uint32_t> findWorker(const WorkerId&) const;
     /// The task of an assignment that has not ended.
     std::optional<TaskKey> findAssignment(uint64_t epoch) const;
+    /// True if an assignment with this epoch has been recorded here, whether it has ended or not. Epochs ascend, so a
+    /// higher one comes from a later leader.
+    bool isKnownEpoch(uint64_t epoch) const { return epoch < m_data.nextEpoch; }
     /// Assignments that have not ended, by epoch.
     const std::unordered_map<uint64_t, TaskKey>& assignments() const { return m_assignments; }
 
--- a/tests/scheduler/ClusterSafetyTest.cpp
+++ b/tests/scheduler/ClusterSafetyTest.cpp
@@ -8,33 +8,53 @@
 
 namespace hickoryknot {
 
+namespace {
+
+uint64_t environmentNumber(const char* name, uint64_t otherwise)
+{
+    const char* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text ? std::stoull(text) : otherwise;
+}
+
+} // namespace
+
 class ClusterSafetyTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ClusterSafetyTest);
     CPPUNIT_TEST(promisesHoldUnderRandomFaults);
     CPPUNIT_TEST(promisesHoldWithThePlacementEngine);
+    CPPUNIT_TEST(regressionsStayMended);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against tasks in two places, workers over capacity, second starts of what must not run twice, and jobs
     // that never end, while leaders change, hosts and workers pause, messages are lost or late, zones are cut off and
-    // the table changes. SEEDS sets the number of runs.
+    // the table changes. SEEDS sets the number of runs, FIRST_SEED the first one.
     void promisesHoldUnderRandomFaults()
     {
-        runSeeds([] { return std::make_unique<FirstFitPlacer>(); });
+        runSeeds(environmentNumber("FIRST_SEED", 1), environmentNumber("SEEDS", 20),
+            [] { return std::make_unique<FirstFitPlacer>(); });
     }
 
     // Guards against the same with the engine that places in production, whose view could drift from the record.
     void promisesHoldWithThePlacementEngine()
     {
-        runSeeds([] { return std::make_unique<EnginePlacer>(PlacementSettings {}); });
+        runSeeds(environmentNumber("FIRST_SEED", 1), environmentNumber("SEEDS", 20), makeEngine);
     }
 
-    static void runSeeds(const ZoneScheduler::PlacerFactory& factory)
+    // Guards against the return of faults that a longer run once found.
+    void regressionsStayMended()
+    {
+        // 283: a replaced leader acknowledged the end of a task that its successor had started.
+        for (const uint64_t seed : { 283 })
+            runSeeds(seed, 1, makeEngine);
+    }
+
+    static std::unique_ptr<Placer> makeEngine() { return std::make_unique<EnginePlacer>(PlacementSettings {}); }
+
+    static void runSeeds(uint64_t first, uint64_t count, const ZoneScheduler::PlacerFactory& factory)
     {
-        const char* seeds = std::getenv("SEEDS");
-        const uint64_t count = seeds ? std::stoull(seeds) : 20;
         size_t started = 0;
         size_t moved = 0;
-        for (uint64_t seed = 1; seed <= count; ++seed) {
+        for (uint64_t seed = first; seed < first + count; ++seed) {
             ClusterWorld world(seed, {}, factory);
             run(world, seed, 4000);
             moved += world.movedJobs();
@@ -47,7 +67,7 @@
         }
         // The runs must reach what they are meant to test.
         CPPUNIT_ASSERT(started > count * 10);
-        CPPUNIT_ASSERT(moved > 0);
+        CPPUNIT_ASSERT(moved > 0 || count < 5);
     }
 
     static void run(ClusterWorld& world, uint64_t seed, int steps)
--- a/tests/scheduler/ZoneSchedulerTest.cpp
+++ b/tests/scheduler/ZoneSchedulerTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(silentWorkerLosesTasksOnlyAfterLeaseAndDrift);
     CPPUNIT_TEST(newLeaderWaitsForInheritedLeases);
     CPPUNIT_TEST(endsAreAcknowledgedOnceRecorded);
+    CPPUNIT_TEST(replacedLeaderLeavesLaterAssignmentsAlone);
     CPPUNIT_TEST(leavingWorkerGetsNothingNew);
     CPPUNIT_TEST(cancelledTasksAreStopped);
     CPPUNIT_TEST(jobThatNoWorkerCanRunIsRefused);
@@ -136,6 +137,18 @@
         CPPUNIT_ASSERT(beat("w").start.empty());
     }
 
+    // Guards against a task that must not run twice and does: a replaced leader that has not noticed it acknowledged the
+    // end of an assignment that only its successor had recorded, so that the successor took the task for never started.
+    // Seed 283 of ClusterSafetyTest.
+    void replacedLeaderLeavesLaterAssignmentsAlone()
+    {
+        leadWithWorker();
+        const auto ended = beat("w", {}, { { .task = TaskId("z:1.0"), .epoch = 1, .exitCode = 0 } });
+        CPPUNIT_ASSERT(ended.acknowledged.empty());
+        const auto running = beat("w", { { .task = TaskId("z:1.0"), .epoch = 1 } });
+        CPPUNIT_ASSERT(running.stop.empty());
+    }
+
     // Guards against a leader that was replaced without knowing it and keeps its tasks alive.
     void unconfirmedLeaderGrantsNoLease()
     {
