--- a/src/app/EventLog.cpp
+++ b/src/app/EventLog.cpp
@@ -31,10 +31,15 @@
 
 } // namespace
 
-void EventLog::start(const std::string& host, const std::string& level)
+void EventLog::start(const std::string& host, const std::string& level, Target target)
 {
     hostName() = host;
-    auto logger = std::make_shared<spdlog::logger>("events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    spdlog::sink_ptr sink;
+    if (target == Target::StandardOutput)
+        sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    else
+        sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    auto logger = std::make_shared<spdlog::logger>("events", std::move(sink));
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})", spdlog::pattern_time_type::utc);
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
--- a/src/app/EventLog.h
+++ b/src/app/EventLog.h
@@ -16,15 +16,20 @@
     Error,
 };
 
-/// Writes one JSON object a line to standard error: time, level, host, event number, event name, sentence and fields.
+/// Writes one JSON object a line: time, level, host, event number, event name, sentence and fields.
 /// Thread safe after start().
 class EventLog {
 public:
     using Fields = std::initializer_list<std::pair<std::string_view, std::string>>;
 
+    enum class Target : uint8_t {
+        StandardError,
+        StandardOutput,
+    };
+
     /// Sets the host's name, which every line carries, and the lowest level that is written: debug, info, warning or
     /// error.
-    static void start(const std::string& host, const std::string& level);
+    static void start(const std::string& host, const std::string& level, Target = Target::StandardError);
 
     static void write(EventLevel, Event, std::string_view sentence, Fields fields = {});
 
--- a/src/app/PeerService.cpp
+++ b/src/app/PeerService.cpp
@@ -78,7 +78,7 @@
     message.appliedTableVersion = m_context.cell.table().version();
     message.leadsZone = leadsZone;
     message.zoneTerm = m_context.zoneGroup->group().term();
-    message.zoneCutOffVersion = m_context.zone.cutOffVersion();
+    message.zoneCutOffVersion = m_context.zoneScheduler->cutOffVersionInForce(now);
     if (const auto* record = m_context.cell.findZone(settings.zone))
         message.zoneEpoch = record->epoch;
     message.isDraining = m_context.isDraining;
--- /dev/null
+++ b/src/control/ControlCodec.cpp
@@ -0,0 +1,141 @@
+#include <array>
+
+#include "control/ControlCall.h"
+#include "control/ControlReply.h"
+#include "control/PermitCall.h"
+#include "state/VariantCodec.h"
+#include "workflow/WorkflowFields.h"
+
+namespace hickoryknot {
+
+namespace {
+
+/// Optional values travel as a flag and a value.
+template <typename T> struct Maybe {
+    bool isSet { false };
+    T value {};
+};
+
+} // namespace
+
+constexpr ControlVerdict lastValueOf(ControlVerdict) { return ControlVerdict::Uncertain; }
+
+template <typename V> void visitFields(V& visit, SameAs<CallerAddress> auto& x) { visit(x.callerHost, x.path); }
+template <typename V> void visitFields(V& visit, SameAs<SubmitCall> auto& x) { visit(x.address, x.spec); }
+template <typename V> void visitFields(V& visit, SameAs<StatusCall> auto& x) { visit(x.address); }
+template <typename V> void visitFields(V& visit, SameAs<CancelCall> auto& x) { visit(x.address); }
+template <typename V> void visitFields(V& visit, SameAs<ReplaceTableCall> auto& x) { visit(x.table); }
+template <typename V> void visitFields(V&, SameAs<ReadTableCall> auto&) { }
+template <typename V> void visitFields(V& visit, SameAs<LeaveCall> auto& x) { visit(x.worker); }
+template <typename V> void visitFields(V& visit, SameAs<HelloCall> auto& x)
+{
+    visit(x.host, x.zone, x.keepsState, x.storeId, x.incarnation, x.sequence, x.mayAskPermission, x.isDraining);
+}
+template <typename V> void visitFields(V& visit, SameAs<ExplainCall> auto& x) { visit(x.workflow); }
+template <typename V> void visitFields(V& visit, SameAs<ControlReply> auto& x)
+{
+    visit(x.verdict, x.message, x.retryAfter, x.phase, x.hasStarted, x.isQueue, x.pending, x.tableVersion, x.text,
+        x.leader, x.keepers);
+}
+template <typename V> void visitFields(V& visit, SameAs<PermitCall> auto& x)
+{
+    visit(x.step, x.workers, x.timeLimit);
+}
+
+void visitFields(FieldWriter& visit, const ReportCall& x)
+{
+    const auto& report = x.report;
+    visit(report.profile, report.sequence, report.clock.has_value(), report.clock.value_or(0),
+        report.remaining.has_value(), report.remaining.value_or(Duration(0)), report.warmup);
+}
+
+void visitFields(FieldReader& visit, ReportCall& x)
+{
+    Maybe<workflow::WorkerMs> clock;
+    Maybe<Duration> remaining;
+    auto& report = x.report;
+    visit(report.profile, report.sequence, clock.isSet, clock.value, remaining.isSet, remaining.value, report.warmup);
+    if (clock.isSet)
+        report.clock = clock.value;
+    if (remaining.isSet)
+        report.remaining = remaining.value;
+}
+
+const char* controlVerdictName(ControlVerdict verdict)
+{
+    constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady",
+        "notLeader", "uncertain" };
+    return names[static_cast<size_t>(verdict)];
+}
+
+std::string encodeControlCall(const ControlCall& call) { return encodeVariant(call); }
+
+Expected<ControlCall> decodeControlCall(std::string_view bytes) { return decodeVariant<ControlCall>(bytes); }
+
+std::string encodeControlReply(const ControlReply& reply)
+{
+    FieldWriter writer;
+    writer(reply);
+    return writer.finish();
+}
+
+Expected<ControlReply> decodeControlReply(std::string_view bytes)
+{
+    FieldReader reader(bytes);
+    ControlReply reply;
+    reader(reply);
+    if (auto finished = reader.finish(); !finished)
+        return tl::unexpected(finished.error());
+    return reply;
+}
+
+std::string encodePermitCall(const PermitCall& call)
+{
+    FieldWriter writer;
+    writer(call);
+    return writer.finish();
+}
+
+Expected<PermitCall> decodePermitCall(std::string_view bytes)
+{
+    FieldReader reader(bytes);
+    PermitCall call;
+    reader(call);
+    if (auto finished = reader.finish(); !finished)
+        return tl::unexpected(finished.error());
+    return call;
+}
+
+std::string encodePermitAnswer(const workflow::PermitAnswer& answer)
+{
+    FieldWriter writer;
+    std::vector<WorkerId> workers;
+    std::vector<std::string> tickets;
+    for (const auto& permit : answer.granted) {
+        workers.push_back(permit.worker);
+        tickets.push_back(permit.ticket);
+    }
+    writer(workers, tickets, answer.validity.has_value(), answer.validity.value_or(Duration(0)));
+    return writer.finish();
+}
+
+Expected<workflow::PermitAnswer> decodePermitAnswer(std::string_view bytes)
+{
+    FieldReader reader(bytes);
+    std::vector<WorkerId> workers;
+    std::vector<std::string> tickets;
+    Maybe<Duration> validity;
+    reader(workers, tickets, validity.isSet, validity.value);
+    if (workers.size() != tickets.size())
+        reader.fail();
+    if (auto finished = reader.finish(); !finished)
+        return tl::unexpected(finished.error());
+    workflow::PermitAnswer answer;
+    for (size_t i = 0; i < workers.size(); ++i)
+        answer.granted.push_back({ .worker = workers[i], .ticket = tickets[i] });
+    if (validity.isSet)
+        answer.validity = validity.value;
+    return answer;
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/control/PermitDispatcher.cpp
@@ -0,0 +1,93 @@
+#include "control/PermitDispatcher.h"
+
+#include <algorithm>
+
+#include "app/SteadyTime.h"
+#include "control/ControlPaths.h"
+#include "control/HostAddress.h"
+
+namespace hickoryknot {
+
+namespace {
+
+/// A helper that said nothing for this long is left alone; hosts tell of themselves twice a second.
+constexpr Duration silentAfter = 1500ms;
+/// On top of the time that the service needs: two hops and the helper's own delay.
+constexpr Duration callMargin = 300ms;
+/// Time without calls after one went wrong.
+constexpr Duration failurePause = 1s;
+
+} // namespace
+
+PermitDispatcher::PermitDispatcher(boost::asio::io_context& io, const HostId& self, PermissionService* own)
+    : m_io(io)
+    , m_self(self)
+    , m_own(own)
+    , m_client(io, { .maxConnectionsPerEndpoint = 8, .connectTimeout = 250ms })
+{
+}
+
+PermitDispatcher::~PermitDispatcher() { *m_isAlive = false; }
+
+void PermitDispatcher::helperHeard(const HostId& host, TimePoint now) { m_helpers[host].heardAt = now; }
+
+HostId PermitDispatcher::choose(TimePoint now) const
+{
+    const std::pair<const HostId, Helper>* best = nullptr;
+    for (const auto& item : m_helpers) {
+        const Helper& helper = item.second;
+        if (now - helper.heardAt > silentAfter || now < helper.usableFrom)
+            continue;
+        if (!best || std::max(helper.freeAt, now) < std::max(best->second.freeAt, now))
+            best = &item;
+    }
+    return best ? best->first : m_self;
+}
+
+void PermitDispatcher::ask(const workflow::PermitRequest& request, TimePoint now, Completion completion)
+{
+    if (m_own)
+        m_helpers[m_self].heardAt = now;
+    const HostId host = choose(now);
+    Helper& helper = m_helpers[host];
+    helper.freeAt = std::max(helper.freeAt, now) + request.cost;
+    const Duration limit = helper.freeAt - now + callMargin;
+    PermitCall call { .step = request.step, .workers = request.workers, .timeLimit = limit };
+    auto done = [this, alive = m_isAlive, host, completion = std::move(completion)](
+                    Expected<workflow::PermitAnswer> answer) {
+        if (*alive)
+            answered(host, answer, steadyNow());
+        completion(std::move(answer));
+    };
+    if (host == m_self) {
+        if (!m_own)
+            return done(makeError(ErrorCode::Unavailable, "no host can call the permission service"));
+        m_own->ask(call, std::move(done));
+        return;
+    }
+    const auto endpoint = endpointOf(host);
+    if (!endpoint)
+        return done(tl::unexpected(endpoint.error()));
+    HttpRequest message {
+        .method = "POST", .target = control_paths::permit, .headers = {}, .body = encodePermitCall(call)
+    };
+    m_client.send(*endpoint, std::move(message), limit, [done = std::move(done)](HttpClientResult result) {
+        if (!result.response)
+            return done(tl::unexpected(result.response.error()));
+        if (result.response->status != 200)
+            return done(makeError(ErrorCode::Unavailable,
+                "the helper answered " + std::to_string(result.response->status)));
+        done(decodePermitAnswer(result.response->body));
+    });
+}
+
+void PermitDispatcher::answered(const HostId& host, const Expected<workflow::PermitAnswer>& answer, TimePoint now)
+{
+    if (answer)
+        return;
+    Helper& helper = m_helpers[host];
+    helper.usableFrom = now + failurePause;
+    helper.freeAt = now;
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/control/WorkflowHost.cpp
@@ -0,0 +1,533 @@
+#include "control/WorkflowHost.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "app/EventLog.h"
+#include "app/MemberPolicy.h"
+#include "app/SteadyTime.h"
+#include "control/ControlPaths.h"
+#include "control/FounderFile.h"
+#include "control/HostAddress.h"
+#include "core/Hash.h"
+
+namespace hickoryknot {
+
+using namespace workflow;
+
+namespace {
+
+/// Between two looks at the clock of the log; a third of its heartbeat.
+constexpr Duration tickPeriod = 25ms;
+/// Between two looks at leases and repetitions when nothing else happens.
+constexpr Duration advancePeriod = 25ms;
+/// Work that comes within this time of each other shares a record and a plan.
+constexpr Duration gatherTime = 1ms;
+/// Between two changes of the members of the group.
+constexpr Duration memberChangePause = 300ms;
+/// A voter that is silent for this long is replaced by a live host with a disk, if there is one that does not vote. A
+/// restart takes about a second, and after four the next loss must be borne.
+constexpr Duration replaceSilentAfter = 2500ms;
+/// Log messages under way to one host. Later messages repeat what earlier ones said, so more are dropped, not queued.
+constexpr size_t maxLogMessagesInFlight = 8;
+constexpr Duration logMessageLimit = 400ms;
+/// Entries of the log between snapshots: writing one holds up the host for some milliseconds.
+constexpr uint64_t snapshotEvery = 8192;
+
+std::string_view trimmed(std::string_view rest)
+{
+    while (rest.ends_with('/'))
+        rest.remove_suffix(1);
+    return rest;
+}
+
+bool isWorkflowId(std::string_view text)
+{
+    constexpr size_t digits = 16;
+    return text.size() == digits && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isdigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+    });
+}
+
+} // namespace
+
+WorkflowHost::WorkflowHost(boost::asio::io_context& io, const WorkflowHostSettings& settings, WorkerLink& workers,
+    PermissionService* permission)
+    : m_io(io)
+    , m_settings(settings)
+    , m_workers(workers)
+    , m_logClient(io,
+          { .maxConnectionsPerEndpoint = maxLogMessagesInFlight,
+              .maxWaitingPerEndpoint = 1,
+              .connectTimeout = 250ms })
+    , m_permits(io, settings.self, permission)
+    , m_scheduler(settings.scheduler, m_state)
+    , m_storage({ .name = "storage", .ringCapacity = 64, .period = 1s }, [] {})
+    , m_tickTimer(io)
+    , m_pumpTimer(io)
+{
+}
+
+WorkflowHost::~WorkflowHost()
+{
+    *m_isAlive = false;
+    m_storage.stop();
+}
+
+Expected<std::unique_ptr<WorkflowHost>> WorkflowHost::open(boost::asio::io_context& io,
+    const WorkflowHostSettings& settings, WorkerLink& workers, PermissionService* permission)
+{
+    std::unique_ptr<WorkflowHost> host(new WorkflowHost(io, settings, workers, permission));
+    if (auto started = host->start(); !started)
+        return tl::unexpected(started.error());
+    return host;
+}
+
+Expected<void> WorkflowHost::start()
+{
+    const TimePoint now = steadyNow();
+    const auto founders = rememberFounders(m_settings.dataFolder, m_settings.founders);
+    if (!founders)
+        return tl::unexpected(founders.error());
+    std::vector<InitialMember> members;
+    for (const auto& host : *founders)
+        members.push_back({ host, true });
+    // A host that joins waits for the group's leader to list it; until then it counts for nothing.
+    if (founders->empty())
+        members = { { m_settings.self, false } };
+    GroupRunnerSettings settings { .name = "workflows",
+        .log = { .group = "workflows",
+            .self = m_settings.self,
+            .initialMembers = members,
+            .seed = m_settings.seed,
+            .timings = m_settings.timings,
+            .snapshotEvery = snapshotEvery },
+        .cell = "fleet",
+        .folder = m_settings.dataFolder + "/log" };
+    GroupRunner::Links links {
+        .send = [this](const HostId& to, const std::string&, std::string bytes) { sendLogMessage(to, std::move(bytes)); },
+        .postToControl =
+            [this, alive = m_isAlive](std::function<void()> work) {
+                boost::asio::post(m_io, [alive, work = std::move(work)] {
+                    if (*alive)
+                        work();
+                });
+            },
+        .leadershipChanged = [this](bool isLeader, uint64_t term,
+                                 TimePoint at) { leadershipChanged(isLeader, term, at); },
+        .storage = m_storage,
+    };
+    auto runner = GroupRunner::open(settings, m_state, std::move(links), now);
+    if (!runner)
+        return tl::unexpected(runner.error());
+    m_runner = std::move(*runner);
+    m_storage.start();
+    tickLater();
+    return {};
+}
+
+bool WorkflowHost::isLeading() const
+{
+    return m_scheduler.isLeader() && m_runner->group().hasReadableLeadership(steadyNow());
+}
+
+void WorkflowHost::logMessage(std::string_view bytes)
+{
+    m_runner->step(bytes, steadyNow());
+}
+
+void WorkflowHost::sendLogMessage(const HostId& to, std::string bytes)
+{
+    const auto endpoint = endpointOf(to);
+    size_t& inFlight = m_logMessagesInFlight[to];
+    if (!endpoint || inFlight >= maxLogMessagesInFlight)
+        return;
+    ++inFlight;
+    HttpRequest request { .method = "POST", .target = control_paths::log, .headers = {}, .body = std::move(bytes) };
+    m_logClient.send(*endpoint, std::move(request), logMessageLimit,
+        [this, alive = m_isAlive, to, endpoint = *endpoint](const HttpClientResult& result) {
+            if (!*alive)
+                return;
+            --m_logMessagesInFlight[to];
+            // Other connections to this host may be dead too, without having said so.
+            if (!result.response)
+                m_logClient.closeIdle(endpoint);
+        });
+}
+
+void WorkflowHost::tickLater()
+{
+    m_tickTimer.expires_after(tickPeriod);
+    m_tickTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
+        if (error || !*alive)
+            return;
+        const TimePoint now = steadyNow();
+        m_runner->tick(now);
+        if (m_scheduler.isLeader() && now >= m_nextAdvance)
+            pump();
+        if (m_scheduler.isLeader() && now >= m_nextMemberChange)
+            changeMembers(now);
+        tickLater();
+    });
+}
+
+void WorkflowHost::leadershipChanged(bool isLeader, uint64_t term, TimePoint now)
+{
+    // What was waiting for a record may or may not have been recorded.
+    for (const auto& waiter : std::exchange(m_waiters, {}))
+        waiter.respond(makeReply(ControlVerdict::NotLeader, "leadership was lost before anything was recorded"));
+    m_commands.clear();
+    m_accepting.clear();
+    if (!isLeader) {
+        m_scheduler.resign();
+        return;
+    }
+    m_hosts.clear();
+    for (const auto& member : m_runner->group().members()) {
+        // Members count as heard now, so that those that stay silent are noticed.
+        HostView& view = m_hosts[member.host];
+        view.host = member.host;
+        view.storeId = static_cast<uint64_t>(member.store);
+        view.heardAt = now;
+    }
+    m_scheduler.becomeLeader(term, now, wallNow());
+    schedulePump(Duration(0));
+}
+
+void WorkflowHost::schedulePump(Duration delay)
+{
+    const TimePoint due = steadyNow() + delay;
+    if (due >= m_pumpDueAt)
+        return;
+    m_pumpDueAt = due;
+    m_pumpTimer.expires_after(delay);
+    m_pumpTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
+        if (!error && *alive)
+            pump();
+    });
+}
+
+void WorkflowHost::pump()
+{
+    m_pumpDueAt = TimePoint::max();
+    const TimePoint now = steadyNow();
+    m_nextAdvance = now + advancePeriod;
+    if (!m_scheduler.isLeader() || !m_runner->group().hasReadableLeadership(now))
+        return;
+    auto output = m_scheduler.advance(now, wallNow());
+    auto commands = std::exchange(m_commands, {});
+    commands.insert(commands.end(), std::make_move_iterator(output.commands.begin()),
+        std::make_move_iterator(output.commands.end()));
+    if (!commands.empty())
+        propose(output.batch, std::move(commands));
+    send(output.orders);
+    askPermits(output.permits);
+}
+
+void WorkflowHost::propose(uint64_t batch, std::vector<WorkflowCommand> commands)
+{
+    std::vector<WorkflowId> accepting;
+    for (const auto& command : commands) {
+        if (const auto* accept = std::get_if<AcceptWorkflow>(&command))
+            accepting.push_back(accept->id);
+    }
+    auto waiters = std::make_shared<std::vector<Waiter>>(std::exchange(m_waiters, {}));
+    m_runner->propose(encodeCommands(commands), steadyNow(),
+        [this, alive = m_isAlive, batch, waiters, accepting](const Expected<std::string>& result) {
+            if (!*alive)
+                return;
+            for (const auto& id : accepting)
+                m_accepting.erase(id);
+            const bool isUndone = !result && result.error().code == ErrorCode::NotLeader;
+            for (const auto& waiter : *waiters) {
+                if (result)
+                    waiter.respond(waiter.reply);
+                else
+                    waiter.respond(makeReply(isUndone ? ControlVerdict::NotLeader : ControlVerdict::Uncertain,
+                        result.error().message));
+            }
+            if (!result)
+                return;
+            m_scheduler.recorded(batch, steadyNow());
+            schedulePump(Duration(0));
+        });
+}
+
+void WorkflowHost::send(RunDesk::Orders& orders)
+{
+    // Every order is preceded by a look at the leadership: this process may have been paused at any point before.
+    for (auto& order : orders.looks) {
+        const TimePoint sentAt = steadyNow();
+        if (!isLeading()) {
+            m_scheduler.lookAnswered(order, makeError(ErrorCode::Conflict, "leadership is in doubt"), sentAt, sentAt);
+            continue;
+        }
+        m_workers.look(order, [this, alive = m_isAlive, order, sentAt](const Expected<LookAnswer>& answer) {
+            if (!*alive)
+                return;
+            m_scheduler.lookAnswered(order, answer, sentAt, steadyNow());
+            schedulePump(gatherTime);
+        });
+    }
+    for (auto& order : orders.stops) {
+        const TimePoint sentAt = steadyNow();
+        if (!isLeading()) {
+            m_scheduler.stopAnswered(order, { .verdict = OrderVerdict::NotSent }, sentAt);
+            continue;
+        }
+        m_workers.stop(order, [this, alive = m_isAlive, order](const OrderAnswer& answer) {
+            if (!*alive)
+                return;
+            m_scheduler.stopAnswered(order, answer, steadyNow());
+            schedulePump(gatherTime);
+        });
+    }
+    for (auto& order : orders.starts) {
+        const TimePoint sentAt = steadyNow();
+        if (!isLeading()) {
+            m_scheduler.startAnswered(order, { .verdict = OrderVerdict::NotSent }, sentAt, sentAt);
+            continue;
+        }
+        m_workers.start(order, [this, alive = m_isAlive, order, sentAt](const OrderAnswer& answer) {
+            if (!*alive)
+                return;
+            if (answer.verdict != OrderVerdict::Done)
+                EventLog::write(EventLevel::Warning, Event::TaskStopped,
+                    "a worker did not take a start", { { "task", describe(order.run.task) },
+                        { "run", std::to_string(order.run.run) }, { "worker", order.life.worker.value() },
+                        { "answer", orderVerdictName(answer.verdict) } });
+            m_scheduler.startAnswered(order, answer, sentAt, steadyNow());
+            schedulePump(gatherTime);
+        });
+    }
+}
+
+void WorkflowHost::askPermits(const std::vector<PermitRequest>& requests)
+{
+    for (const auto& request : requests) {
+        m_permits.ask(request, steadyNow(),
+            [this, alive = m_isAlive, request](const Expected<PermitAnswer>& answer) {
+                if (!*alive)
+                    return;
+                if (!answer)
+                    EventLog::write(EventLevel::Warning, Event::PeerUnreachable,
+                        "no answer of the permission service: " + answer.error().message,
+                        { { "step", describe(request.step) } });
+                m_scheduler.permitAnswered(request, answer, steadyNow());
+                schedulePump(Duration(0));
+            });
+    }
+}
+
+ControlReply WorkflowHost::makeReply(ControlVerdict verdict, std::string message) const
+{
+    ControlReply reply;
+    reply.verdict = verdict;
+    reply.message = std::move(message);
+    if (verdict == ControlVerdict::NotLeader) {
+        const auto leader = m_runner->group().leader();
+        if (leader && *leader != m_settings.self)
+            reply.leader = *leader;
+    }
+    return reply;
+}
+
+void WorkflowHost::serve(const ControlCall& call, const Respond& respond)
+{
+    if (!isLeading()) {
+        auto reply = makeReply(ControlVerdict::NotLeader, "this host does not lead");
+        for (const auto& member : m_runner->group().members())
+            reply.keepers.push_back(member.host);
+        return respond(std::move(reply));
+    }
+    std::visit([&](const auto& typed) { handle(typed, respond); }, call);
+}
+
+void WorkflowHost::record(WorkflowCommand command, const Respond& respond, ControlReply reply)
+{
+    m_commands.push_back(std::move(command));
+    m_waiters.push_back({ respond, std::move(reply) });
+    schedulePump(gatherTime);
+}
+
+void WorkflowHost::handle(const SubmitCall& call, const Respond& respond)
+{
+    if (!m_state.table().version)
+        return respond(makeReply(ControlVerdict::NotReady, "there is no queue table yet"));
+    const auto target = m_state.table().resolve(call.address.callerHost, call.address.path);
+    if (!target)
+        return respond(makeReply(ControlVerdict::NoSuchQueue, "no queue has this host and path"));
+    if (!isWorkflowId(target->rest))
+        return respond(makeReply(ControlVerdict::Invalid, "the path does not end with an id of 16 hexadecimal digits"));
+    const WorkflowId id(target->rest);
+    if (m_state.find(id))
+        return respond(makeReply(ControlVerdict::Done));
+    if (auto checked = checkWorkflowSpec(call.spec); !checked)
+        return respond(makeReply(ControlVerdict::Invalid, checked.error().message));
+    if (!m_accepting.contains(id)) {
+        constexpr uint64_t spreadSteps = 100;
+        const double spread = static_cast<double>(hashBytes(id.value()) % spreadSteps) / spreadSteps;
+        if (const auto returnAfter = m_scheduler.refusal(*target->queue, call.spec, spread, steadyNow())) {
+            auto reply = makeReply(ControlVerdict::Refused, "more work is waiting than can end in time");
+            reply.retryAfter = *returnAfter;
+            EventLog::write(EventLevel::Info, Event::RequestNotRun, reply.message,
+                { { "workflow", id.value() }, { "queue", target->queue->name.value() },
+                    { "retryAfterMs", std::to_string(*returnAfter / 1ms) } });
+            return respond(std::move(reply));
+        }
+    }
+    // A resend that meets its own acceptance on the way records it once more, which changes nothing.
+    m_accepting[id] = true;
+    record(AcceptWorkflow { .id = id,
+               .queue = target->queue->name,
+               .pool = target->queue->pool,
+               .maxAttempts = target->queue->maxAttempts,
+               .spec = call.spec,
+               .acceptedMs = wallNow().time_since_epoch() / 1ms },
+        respond, makeReply(ControlVerdict::Done));
+}
+
+void WorkflowHost::handle(const StatusCall& call, const Respond& respond)
+{
+    if (!m_state.table().version)
+        return respond(makeReply(ControlVerdict::NotReady, "there is no queue table yet"));
+    const auto target = m_state.table().resolve(call.address.callerHost, call.address.path);
+    if (!target)
+        return respond(makeReply(ControlVerdict::NoSuchQueue, "no queue has this host and path"));
+    auto reply = makeReply(ControlVerdict::Done);
+    if (trimmed(target->rest).empty()) {
+        reply.isQueue = true;
+        reply.pending = m_scheduler.pending(target->queue->name);
+        return respond(std::move(reply));
+    }
+    const WorkflowRecord* record = m_state.find(WorkflowId(target->rest));
+    if (!record)
+        return respond(makeReply(ControlVerdict::NoSuchWorkflow, "no such workflow"));
+    reply.phase = record->phase;
+    reply.hasStarted = record->hasStarted;
+    respond(std::move(reply));
+}
+
+void WorkflowHost::handle(const CancelCall& call, const Respond& respond)
+{
+    if (!m_state.table().version)
+        return respond(makeReply(ControlVerdict::NotReady, "there is no queue table yet"));
+    const auto target = m_state.table().resolve(call.address.callerHost, call.address.path);
+    if (!target)
+        return respond(makeReply(ControlVerdict::NoSuchQueue, "no queue has this host and path"));
+    const WorkflowId id(target->rest);
+    const WorkflowRecord* known = m_state.find(id);
+    if (!known && !m_accepting.contains(id))
+        return respond(makeReply(ControlVerdict::NoSuchWorkflow, "no such workflow"));
+    if (known && !known->isActive())
+        return respond(makeReply(ControlVerdict::Done));
+    record(CancelWorkflow { .id = id }, respond, makeReply(ControlVerdict::Done));
+}
+
+void WorkflowHost::handle(const ReplaceTableCall& call, const Respond& respond)
+{
+    if (auto checked = checkQueueTable(call.table); !checked) {
+        EventLog::write(EventLevel::Warning, Event::TableChangeRefused, checked.error().message,
+            { { "version", std::to_string(call.table.version) } });
+        return respond(makeReply(ControlVerdict::Invalid, checked.error().message));
+    }
+    if (call.table.version <= m_state.table().version)
+        return respond(makeReply(ControlVerdict::Done));
+    EventLog::write(EventLevel::Info, Event::TableChanged, "a queue table is being recorded",
+        { { "version", std::to_string(call.table.version) }, { "queues", std::to_string(call.table.queues.size()) } });
+    record(ReplaceTable { .table = call.table }, respond, makeReply(ControlVerdict::Done));
+}
+
+void WorkflowHost::handle(const ReadTableCall&, const Respond& respond)
+{
+    if (!m_state.table().version)
+        return respond(makeReply(ControlVerdict::NotReady, "there is no queue table yet"));
+    auto reply = makeReply(ControlVerdict::Done);
+    reply.tableVersion = m_state.table().version;
+    reply.text = m_state.table().document;
+    respond(std::move(reply));
+}
+
+void WorkflowHost::handle(const ReportCall& call, const Respond& respond)
+{
+    m_scheduler.workerReported(call.report, steadyNow());
+    // A confirmed report is heeded by every later leader too.
+    if (m_scheduler.isRecorded(call.report))
+        return respond(makeReply(ControlVerdict::Done));
+    m_waiters.push_back({ respond, makeReply(ControlVerdict::Done) });
+    schedulePump(gatherTime);
+}
+
+void WorkflowHost::handle(const LeaveCall& call, const Respond& respond)
+{
+    m_scheduler.workerLeft(call.worker, steadyNow());
+    respond(makeReply(ControlVerdict::Done));
+}
+
+void WorkflowHost::handle(const HelloCall& call, const Respond& respond)
+{
+    const TimePoint now = steadyNow();
+    if (call.mayAskPermission && !call.isDraining)
+        m_permits.helperHeard(call.host, now);
+    if (call.keepsState) {
+        HostView& view = m_hosts[call.host];
+        view.host = call.host;
+        view.zone = call.zone;
+        view.storeId = call.storeId;
+        view.incarnation = call.incarnation;
+        view.heardAt = now;
+    }
+    auto reply = makeReply(ControlVerdict::Done);
+    reply.leader = m_settings.self;
+    reply.tableVersion = m_state.table().version;
+    for (const auto& member : m_runner->group().members())
+        reply.keepers.push_back(member.host);
+    respond(std::move(reply));
+}
+
+void WorkflowHost::handle(const ExplainCall& call, const Respond& respond)
+{
+    auto reply = makeReply(ControlVerdict::Done);
+    reply.text = m_scheduler.explain(call.workflow, steadyNow(), wallNow());
+    if (reply.text.empty())
+        return respond(makeReply(ControlVerdict::NoSuchWorkflow, "no such workflow"));
+    respond(std::move(reply));
+}
+
+void WorkflowHost::changeMembers(TimePoint now)
+{
+    m_nextMemberChange = now + memberChangePause;
+    std::vector<const HostView*> views;
+    for (auto& [host, view] : m_hosts) {
+        if (host == m_settings.self)
+            view.heardAt = now;
+        views.push_back(&view);
+    }
+    const MemberPolicySettings policy { .maxVoters = 2 * m_settings.toleratedLosses + 1,
+        .replaceSilentAfter = replaceSilentAfter };
+    const auto change = nextMemberChange(policy, m_settings.self, m_runner->group().members(), views, now);
+    if (!change)
+        return;
+    if (change->kind == MemberChange::Kind::Add)
+        m_runner->addMember(change->host, change->isVoter, now);
+    else
+        m_runner->removeMember(change->host, now);
+}
+
+void WorkflowHost::handOver()
+{
+    m_runner->handOver(steadyNow());
+}
+
+HelloCall WorkflowHost::hello()
+{
+    const auto& identity = m_runner->group().identity();
+    return { .host = m_settings.self,
+        .zone = m_settings.zone,
+        .keepsState = true,
+        .storeId = static_cast<uint64_t>(identity.store),
+        .incarnation = m_settings.incarnation,
+        .sequence = ++m_sequence };
+}
+
+} // namespace hickoryknot
--- /dev/null
+++ b/src/control/WorkflowHost.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "app/DutyThread.h"
+#include "app/GroupRunner.h"
+#include "control/ControlCall.h"
+#include "control/ControlReply.h"
+#include "control/PermitDispatcher.h"
+#include "control/WorkerLink.h"
+#include "control/WorkflowHostSettings.h"
+#include "membership/HostRegistry.h"
+#include "workflow/WorkflowScheduler.h"
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot {
+
+/// A host that keeps a copy of the workflows and, while it leads the group, serves calls, decides and drives workers.
+/// Everything runs on one io_context's thread; a thread of its own makes records durable.
+class WorkflowHost {
+public:
+    using Respond = std::function<void(ControlReply)>;
+
+    /// Keeps references. Errors as GroupRunner::open(), or Storage for the file that names the founders.
+    static Expected<std::unique_ptr<WorkflowHost>> open(
+        boost::asio::io_context&, const WorkflowHostSettings&, WorkerLink&, PermissionService*);
+    ~WorkflowHost();
+
+    /// Serves a call if this host leads, else answers NotLeader. The answer may come later.
+    void serve(const ControlCall&, const Respond&);
+
+    /// True if this host leads and may act on it now.
+    bool isLeading() const;
+
+    /// Takes a message of the replicated log from another host.
+    void logMessage(std::string_view bytes);
+
+    /// Hands leadership to another host, for a planned stop.
+    void handOver();
+
+    /// What this host says of itself to the leader.
+    HelloCall hello();
+
+    /// The disk refuses writes: the process should end and start again.
+    bool hasStorageFailed() const { return m_runner->group().storageFailure().has_value(); }
+
+    const workflow::WorkflowScheduler& scheduler() const { return m_scheduler; }
+    const workflow::WorkflowState& state() const { return m_state; }
+    const GroupRunner& runner() const { return *m_runner; }
+
+private:
+    struct Waiter {
+        Respond respond;
+        ControlReply reply;
+    };
+
+    WorkflowHost(boost::asio::io_context&, const WorkflowHostSettings&, WorkerLink&, PermissionService*);
+    Expected<void> start();
+
+    void handle(const SubmitCall&, const Respond&);
+    void handle(const StatusCall&, const Respond&);
+    void handle(const CancelCall&, const Respond&);
+    void handle(const ReplaceTableCall&, const Respond&);
+    void handle(const ReadTableCall&, const Respond&);
+    void handle(const ReportCall&, const Respond&);
+    void handle(const LeaveCall&, const Respond&);
+    void handle(const HelloCall&, const Respond&);
+    void handle(const ExplainCall&, const Respond&);
+
+    /// Records the command with the next batch and answers then.
+    void record(workflow::WorkflowCommand, const Respond&, ControlReply);
+    void schedulePump(Duration delay);
+    void pump();
+    void propose(uint64_t batch, std::vector<workflow::WorkflowCommand>);
+    void send(workflow::RunDesk::Orders&);
+    void askPermits(const std::vector<workflow::PermitRequest>&);
+    void leadershipChanged(bool isLeader, uint64_t term, TimePoint now);
+    void tickLater();
+    void changeMembers(TimePoint now);
+    void sendLogMessage(const HostId&, std::string bytes);
+    ControlReply makeReply(ControlVerdict, std::string message = {}) const;
+
+    boost::asio::io_context& m_io;
+    WorkflowHostSettings m_settings;
+    WorkerLink& m_workers;
+    HttpClient m_logClient;
+    PermitDispatcher m_permits;
+    workflow::WorkflowState m_state;
+    workflow::WorkflowScheduler m_scheduler;
+    DutyThread m_storage;
+    std::unique_ptr<GroupRunner> m_runner;
+
+    std::vector<workflow::WorkflowCommand> m_commands;
+    std::vector<Waiter> m_waiters;
+    /// Workflows whose acceptance is on its way to the record, with callers that sent them again.
+    std::map<workflow::WorkflowId, bool> m_accepting;
+    std::map<HostId, HostView> m_hosts;
+    std::map<HostId, size_t> m_logMessagesInFlight;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_pumpTimer;
+    TimePoint m_pumpDueAt { TimePoint::max() };
+    TimePoint m_nextMemberChange;
+    TimePoint m_nextAdvance;
+    uint64_t m_sequence { 0 };
+    uint64_t m_returns { 0 };
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+} // namespace hickoryknot
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -136,6 +136,13 @@
 
 void HttpClient::close() { m_impl->close(false); }
 
+void HttpClient::closeIdle(const Endpoint& endpoint)
+{
+    const auto found = m_impl->pools.find({ endpoint.address, endpoint.port });
+    if (found != m_impl->pools.end())
+        found->second->closeIdle(std::chrono::steady_clock::time_point::max());
+}
+
 size_t HttpClient::connections(const Endpoint& endpoint) const
 {
     const auto found = m_impl->pools.find({ endpoint.address, endpoint.port });
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -48,6 +48,9 @@
     /// drops the completions of open requests.
     void close();
 
+    /// Closes the idle connections to this endpoint, for a peer whose connections may have gone silent.
+    void closeIdle(const Endpoint&);
+
     /// Open connections to this endpoint, idle ones included.
     size_t connections(const Endpoint&) const;
 
--- a/src/scheduler/ZoneScheduler.cpp
+++ b/src/scheduler/ZoneScheduler.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 
+#include "lease/LeaseBound.h"
 #include "scheduler/CellLink.h"
 #include "scheduler/EngineMirror.h"
 #include "scheduler/WorkerDesk.h"
@@ -62,6 +63,8 @@
     std::map<uint64_t, ZoneCommand> outstanding;
     uint64_t nextToken { 1 };
     bool isCutOffProposed { false };
+    uint64_t seenCutOffVersion { 0 };
+    TimePoint cutOffSeenAt;
     TimePoint expiredAt;
 };
 
@@ -81,6 +84,8 @@
     s.term = term;
     s.leaderSince = now;
     s.expiredAt = now;
+    s.seenCutOffVersion = s.state.cutOffVersion();
+    s.cutOffSeenAt = now;
     s.desk.begin(term, now);
     s.link.begin();
     s.wasConnected = s.isConnected(now);
@@ -127,6 +132,15 @@
         m_impl->tableLease.renewed(requestSentAt, lease);
 }
 
+uint64_t ZoneScheduler::cutOffVersionInForce(TimePoint now) const
+{
+    const auto& s = *m_impl;
+    const TimePoint olderLeasesEnd
+        = LeaseBound(s.settings.leases).expiry(s.cutOffSeenAt, s.settings.leases.task);
+    const bool isInForce = s.isLeader && s.seenCutOffVersion == s.state.cutOffVersion() && now >= olderLeasesEnd;
+    return isInForce ? s.seenCutOffVersion : 0;
+}
+
 WorkerInstructions ZoneScheduler::heartbeat(const WorkerHeartbeat& heartbeat, TimePoint now)
 {
     auto& s = *m_impl;
@@ -184,6 +198,10 @@
         return batch;
     const UnixMs atMs = wall.time_since_epoch() / 1ms;
     s.readChanges(now);
+    if (s.seenCutOffVersion != s.state.cutOffVersion()) {
+        s.seenCutOffVersion = s.state.cutOffVersion();
+        s.cutOffSeenAt = now;
+    }
     s.followConnection(now);
     s.mirror.updateTable(s.cell.table(), now);
     s.watchWorkers(now);
--- a/src/scheduler/ZoneScheduler.h
+++ b/src/scheduler/ZoneScheduler.h
@@ -46,6 +46,10 @@
     /// and running tasks of cell jobs with that rule end with their leases.
     void tableLeaseRenewed(TimePoint requestSentAt, Duration lease);
 
+    /// Version of the cut-off rules that every lease on the zone's workers follows, for the cell leader; 0 while leases
+    /// granted under older rules may still run.
+    uint64_t cutOffVersionInForce(TimePoint now) const;
+
     /// Takes a worker's report and answers at once. The host may hold the answer back for `WorkerHeartbeat::wait` if
     /// isHoldable() says so, and must then replace it by answer() at the end of the wait.
     WorkerInstructions heartbeat(const WorkerHeartbeat&, TimePoint now);
--- /dev/null
+++ b/src/workflow/Explanation.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "workflow/WorkflowScheduler.h"
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+const char* phaseSentence(WorkflowPhase phase)
+{
+    switch (phase) {
+    case WorkflowPhase::Active:
+        return "is not finished";
+    case WorkflowPhase::Completed:
+        return "is finished: all its tasks are done";
+    case WorkflowPhase::Failed:
+        return "has failed: one of its tasks has used up its attempts";
+    case WorkflowPhase::Cancelled:
+        return "was cancelled";
+    }
+    return "";
+}
+
+} // namespace
+
+// The first sentence answers the question; tasks with the same reason are told together.
+std::string WorkflowScheduler::explain(const WorkflowId& id, TimePoint now, WallTime) const
+{
+    const WorkflowRecord* record = m_state.find(id);
+    if (!record)
+        return {};
+    std::string text = fmt::format("Workflow {} {}.", id.value(), phaseSentence(record->phase));
+    if (!record->isActive()) {
+        if (record->placed)
+            text += fmt::format(" {} of its runs still occupy workers until they report their end.", record->placed);
+        return text;
+    }
+    const auto tracked = m_tracked.find(id);
+    const Queue queue = queueOf(*record);
+    for (const auto& occurrence : record->occurrences) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const StepRecord& steps = occurrence.steps[step];
+            const StepSpec& spec = record->spec.steps[step];
+            const StepRef ref { id, occurrence.number, step };
+            if (steps.isDone())
+                continue;
+            const auto waiting = steps.open - std::min(steps.open, steps.placed);
+            text += fmt::format(" Step {}: {} of {} tasks are done, {} run, {} wait", step, spec.count - steps.open,
+                spec.count, steps.placed, waiting);
+            const auto unmet = std::find_if(spec.after.begin(), spec.after.end(),
+                [&](uint32_t earlier) { return !occurrence.steps[earlier].isDone(); });
+            if (!waiting)
+                text += ".";
+            else if (unmet != spec.after.end())
+                text += fmt::format(" for step {} to finish.", *unmet);
+            else if (m_permits.isAsking(ref))
+                text += " for the answer of the permission service, which says where they may run.";
+            else if (spec.isGang && steps.placed)
+                text += " for the other tasks of their gang to end before all start again.";
+            else
+                text += fmt::format(" for a worker of pool {} with {} thousandths of a core and {} MiB free{}.",
+                    queue.pool.value(), spec.perTask.millicores.count(), spec.perTask.mebibytes.count(),
+                    spec.isGang ? ", for all tasks at the same time" : "");
+        }
+    }
+    if (tracked != m_tracked.end()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - tracked->second.acceptedAt);
+        text += fmt::format(" It was accepted {} ms ago in queue {} with priority {}.", age.count(),
+            record->queue.value(), queue.priority);
+    }
+    return text;
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/PermitBook.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/Error.h"
+#include "workflow/Queue.h"
+#include "workflow/SchedulerSettings.h"
+#include "workflow/WorkerView.h"
+
+namespace hickoryknot::workflow {
+
+/// Asks the permission service which of these workers may run a step.
+struct PermitRequest {
+    uint64_t id { 0 };
+    StepRef step;
+    std::vector<WorkerId> workers;
+    /// Time that the service needs for this call.
+    Duration cost { 0 };
+};
+
+struct Permit {
+    WorkerId worker;
+    std::string ticket;
+};
+
+struct PermitAnswer {
+    std::vector<Permit> granted;
+    std::optional<Duration> validity; // Missing: as the queue says.
+};
+
+/// Permissions of steps for workers. Which workers may run a step never changes, but a permission expires. The share of
+/// workers that a queue's policy allows is learnt, so that calls name neither too few nor too many.
+class PermitBook {
+public:
+    explicit PermitBook(const SchedulerSettings& settings)
+        : m_settings(settings)
+    {
+    }
+
+    void clear();
+    /// The step needs no permissions any more.
+    void forget(const StepRef&);
+
+    /// Ticket for a start on this life that is sent now; null: none is valid.
+    const std::string* ticket(const StepRef&, const WorkerLife&, TimePoint now) const;
+
+    bool isDenied(const StepRef&, const WorkerId&) const;
+    bool isKnownAllowed(const StepRef&, const WorkerId&) const;
+    bool isAsking(const StepRef&) const;
+    /// True while an answer is due or a failed call is not yet to be repeated.
+    bool mayAsk(const StepRef&, TimePoint now) const;
+
+    /// Share of asked workers that the queue's policy has allowed, 0..1.
+    double grantedShare(const QueueName&) const;
+
+    /// Notes a request; its lives are those that the tickets will be valid for.
+    PermitRequest ask(const StepRef&, const Queue&, const std::vector<WorkerLife>&, TimePoint now);
+    /// An error means that no answer came.
+    void answered(const PermitRequest&, const Expected<PermitAnswer>&, TimePoint now);
+
+private:
+    struct Ticket {
+        WorkerLife life;
+        std::string text;
+        TimePoint expiresAt;
+    };
+    struct Pending {
+        QueueName queue;
+        Duration validity;
+        std::vector<WorkerLife> lives;
+    };
+    struct Step {
+        std::map<WorkerId, Ticket> tickets;
+        std::set<WorkerId> denied;
+        std::set<WorkerId> allowed;
+        uint64_t pendingId { 0 };
+        TimePoint mayAskFrom;
+    };
+    struct Share {
+        double allowed { 0 };
+        double asked { 0 };
+    };
+
+    const SchedulerSettings& m_settings;
+    std::map<StepRef, Step> m_steps;
+    std::map<uint64_t, Pending> m_pending;
+    std::map<QueueName, Share> m_shares;
+    uint64_t m_nextId { 1 };
+};
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/RunDesk.cpp
@@ -0,0 +1,522 @@
+#include "workflow/RunDesk.h"
+
+#include <algorithm>
+
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+/// A worker that announced its end is gone for certain this long after; the announcement comes moments before the end.
+constexpr Duration leavingTime = 1s;
+/// Longest pause after failed calls to a worker before it is tried again.
+constexpr Duration longestPause = 1s;
+
+} // namespace
+
+void RunDesk::begin(uint64_t fence, TimePoint now)
+{
+    clear();
+    m_fence = fence;
+    const TimePoint leaseEnd = now + WorkerClock::stretched(m_settings.maxLease) + m_settings.leaseMargin;
+    for (const auto& placed : m_state.placedRuns()) {
+        const StepSpec* spec = specOf(placed.run);
+        if (!spec)
+            continue;
+        WorkerView& view = m_board.fromRun(*placed.life, leaseEnd);
+        view.hasInheritedRuns = true;
+        RunView& run = add(placed.run, *placed.life, *spec);
+        run.phase = RunView::Phase::Sent;
+        run.isInherited = true;
+        run.hasUnanswered = true;
+        run.startedAt = run.progressAt = now;
+    }
+}
+
+void RunDesk::clear()
+{
+    m_runs.clear();
+    m_runsOfLife.clear();
+    m_unsettled.clear();
+    m_strays.clear();
+    m_gangs.clear();
+    m_ends.clear();
+}
+
+const StepSpec* RunDesk::specOf(const RunRef& run) const
+{
+    const auto& step = run.task.step;
+    const WorkflowRecord* record = m_state.find(step.workflow);
+    return record && step.step < record->spec.steps.size() ? &record->spec.steps[step.step] : nullptr;
+}
+
+RunView& RunDesk::add(const RunRef& ref, const WorkerLife& life, const StepSpec& spec)
+{
+    RunView& run = m_runs[ref];
+    run.run = ref;
+    run.life = life;
+    run.spec = spec;
+    run.isGang = spec.isGang;
+    m_runsOfLife[life].insert(ref);
+    m_unsettled.insert(ref);
+    if (WorkerView* view = m_board.find(life))
+        WorkerBoard::occupy(*view, ref.task.step, spec);
+    if (spec.isGang)
+        m_gangs[{ ref.task.step, ref.run }].members.insert(ref);
+    return run;
+}
+
+void RunDesk::remove(const RunRef& ref)
+{
+    const auto found = m_runs.find(ref);
+    if (found == m_runs.end())
+        return;
+    const RunView& run = found->second;
+    if (WorkerView* view = m_board.find(run.life))
+        WorkerBoard::release(*view, ref.task.step, run.spec);
+    const auto ofLife = m_runsOfLife.find(run.life);
+    ofLife->second.erase(ref);
+    if (ofLife->second.empty())
+        m_runsOfLife.erase(ofLife);
+    if (run.isGang) {
+        const auto gang = m_gangs.find({ ref.task.step, ref.run });
+        gang->second.members.erase(ref);
+        if (gang->second.members.empty())
+            m_gangs.erase(gang);
+    }
+    m_unsettled.erase(ref);
+    m_runs.erase(found);
+}
+
+void RunDesk::proposed(const RunRef& ref, const WorkerLife& life, const StepSpec& spec, std::string permit)
+{
+    add(ref, life, spec).permit = std::move(permit);
+}
+
+void RunDesk::settled(const RunRef& ref, bool isRecorded, TimePoint now)
+{
+    const auto found = m_runs.find(ref);
+    if (found == m_runs.end())
+        return;
+    if (!isRecorded) {
+        remove(ref);
+        return;
+    }
+    RunView& run = found->second;
+    run.phase = RunView::Phase::Unsent;
+    run.startedAt = run.progressAt = now;
+    if (run.isStopWanted)
+        finish(run, RunEnd::NeverStarted, {}, now);
+}
+
+void RunDesk::requestStop(const RunRef& ref, TimePoint now)
+{
+    const auto found = m_runs.find(ref);
+    if (found == m_runs.end() || found->second.isStopWanted)
+        return;
+    RunView& run = found->second;
+    run.isStopWanted = true;
+    if (run.phase == RunView::Phase::Unsent)
+        return finish(run, RunEnd::NeverStarted, {}, now);
+    if (!run.maySend())
+        return;
+    run.phase = RunView::Phase::Stopping;
+    run.nextTry = now;
+    m_unsettled.insert(ref);
+}
+
+// The end is handed out for recording; the room is kept until settled.
+void RunDesk::finish(RunView& run, RunEnd end, std::string checkpoint, TimePoint now)
+{
+    if (run.phase == RunView::Phase::Ended)
+        return;
+    const bool isComplete = end == RunEnd::Done || end == RunEnd::Failed;
+    if (checkpoint.empty() && !isComplete)
+        checkpoint = run.checkpoint;
+    if (WorkerView* view = m_board.find(run.life))
+        m_board.runEnded(*view, end, now);
+    run.phase = RunView::Phase::Ended;
+    m_unsettled.erase(run.run);
+    m_ends.push_back({ .run = run.run, .end = end, .checkpoint = std::move(checkpoint) });
+    if (!run.isGang)
+        return;
+    // Members that are left alone would wait for the others in vain.
+    Gang& gang = m_gangs.at({ run.run.task.step, run.run.run });
+    gang.hasEnded = true;
+    if (end != RunEnd::Done)
+        breakGang(run, now);
+}
+
+void RunDesk::breakGang(const RunView& run, TimePoint now)
+{
+    Gang& gang = m_gangs.at({ run.run.task.step, run.run.run });
+    if (std::exchange(gang.isBreaking, true))
+        return;
+    const std::vector<RunRef> members(gang.members.begin(), gang.members.end());
+    for (const auto& member : members)
+        requestStop(member, now);
+}
+
+void RunDesk::confirm(RunView& run, TimePoint now)
+{
+    run.isInherited = false;
+    if (run.phase != RunView::Phase::Sent)
+        return;
+    run.phase = RunView::Phase::Confirmed;
+    run.presentSince = now;
+    m_unsettled.erase(run.run);
+    if (run.isGang)
+        ++m_gangs.at({ run.run.task.step, run.run.run }).confirmed;
+}
+
+// The worker surely did nothing on this call. An earlier one without an answer may still be carried out, unless a stop
+// of this run comes before it.
+void RunDesk::refused(RunView& run, TimePoint now)
+{
+    if (!run.hasUnanswered)
+        return finish(run, RunEnd::NeverStarted, {}, now);
+    run.isStopWanted = true;
+    run.phase = RunView::Phase::Stopping;
+    run.nextTry = now;
+    m_unsettled.insert(run.run);
+}
+
+void RunDesk::noteAnswer(WorkerView& view, std::optional<WorkerMs> clock, TimePoint now)
+{
+    view.heardAt = std::max(view.heardAt, now);
+    view.failedCalls = 0;
+    if (clock)
+        view.clock.observed(*clock, now);
+}
+
+void RunDesk::noteFailure(WorkerView& view, TimePoint now)
+{
+    ++view.failedCalls;
+    const Duration pause = std::min(longestPause, m_settings.retryPause * (1 << std::min(view.failedCalls, 4U)));
+    view.usableFrom = now + pause;
+}
+
+void RunDesk::startAnswered(const StartOrder& order, const OrderAnswer& answer, TimePoint sentAt, TimePoint now)
+{
+    const auto found = m_runs.find(order.run);
+    WorkerView* view = m_board.find(order.life);
+    const bool isOtherLife = answer.bornMs && *answer.bornMs != order.life.bornMs;
+    if (view && answer.verdict == OrderVerdict::NoAnswer)
+        noteFailure(*view, now);
+    else if (view && answer.verdict != OrderVerdict::NotSent && !isOtherLife)
+        noteAnswer(*view, answer.clock, now);
+    if (found == m_runs.end() || found->second.life != order.life)
+        return;
+    RunView& run = found->second;
+    run.isCallInFlight = false;
+    // A later life that took the order runs something that the record places elsewhere.
+    if (isOtherLife && answer.verdict == OrderVerdict::Done) {
+        for (auto& [life, other] : m_board.views()) {
+            if (life.worker == order.life.worker && life.bornMs == *answer.bornMs)
+                m_strays[order.run] = { .life = life, .nextTry = now };
+        }
+        return;
+    }
+    if (run.phase == RunView::Phase::Ended)
+        return;
+    switch (answer.verdict) {
+    case OrderVerdict::Done:
+        // Several unanswered copies of one start are one run.
+        run.hasUnanswered = false;
+        confirm(run, sentAt);
+        break;
+    case OrderVerdict::Outdated:
+        // The run was there and has ended; the next look tells how.
+        confirm(run, sentAt);
+        break;
+    case OrderVerdict::NoAnswer:
+        run.hasUnanswered = true;
+        [[fallthrough]];
+    case OrderVerdict::NotSent:
+    case OrderVerdict::Fenced:
+        run.nextTry = now + m_settings.retryPause;
+        break;
+    case OrderVerdict::Unhealthy:
+        if (view)
+            noteFailure(*view, now);
+        [[fallthrough]];
+    case OrderVerdict::TooLate:
+    case OrderVerdict::NoRoom:
+    case OrderVerdict::NoPermit:
+    case OrderVerdict::WrongLife:
+    case OrderVerdict::Invalid:
+        if (run.phase == RunView::Phase::Sent)
+            refused(run, now);
+        break;
+    }
+}
+
+void RunDesk::stopAnswered(const StopOrder& order, const OrderAnswer& answer, TimePoint now)
+{
+    const bool isOtherLife = answer.bornMs && *answer.bornMs != order.life.bornMs;
+    if (WorkerView* view = m_board.find(order.life)) {
+        if (answer.verdict == OrderVerdict::NoAnswer)
+            noteFailure(*view, now);
+        else if (answer.verdict != OrderVerdict::NotSent && !isOtherLife)
+            noteAnswer(*view, answer.clock, now);
+    }
+    const bool isConfirmed = !isOtherLife
+        && (answer.verdict == OrderVerdict::Done || answer.verdict == OrderVerdict::Outdated);
+    const auto stray = m_strays.find(order.run);
+    if (stray != m_strays.end() && stray->second.life == order.life) {
+        stray->second.isInFlight = false;
+        stray->second.nextTry = now + m_settings.retryPause;
+        stray->second.isConfirmed = stray->second.isConfirmed || isConfirmed;
+    }
+    const auto found = m_runs.find(order.run);
+    if (found == m_runs.end() || found->second.life != order.life)
+        return;
+    RunView& run = found->second;
+    run.isCallInFlight = false;
+    run.nextTry = now + m_settings.retryPause;
+    if (!isConfirmed || run.phase != RunView::Phase::Stopping)
+        return;
+    run.phase = RunView::Phase::Stopped;
+    run.presentSince = now;
+    m_unsettled.erase(run.run);
+}
+
+void RunDesk::lookAnswered(
+    const LookOrder& order, const Expected<LookAnswer>& answer, TimePoint sentAt, TimePoint now)
+{
+    WorkerView* view = m_board.find(order.life);
+    if (!view)
+        return;
+    view->isLookInFlight = false;
+    const bool isOtherLife = answer && answer->bornMs && *answer->bornMs != order.life.bornMs;
+    if (!answer || isOtherLife) {
+        if (!answer && answer.error().code != ErrorCode::Conflict)
+            noteFailure(*view, now);
+        view->nextLookAt = now + m_settings.retryPause;
+        return;
+    }
+    noteAnswer(*view, answer->clock, now);
+    view->isFenced = true;
+    // It answers after it said that it leaves: it is still there.
+    if (view->leftAt && sentAt > *view->leftAt)
+        view->leftAt = now;
+    view->confirmedEnds = std::max(view->confirmedEnds, order.recordedEnds);
+    takeListed(*view, *answer, sentAt, now);
+    view->nextLookAt = now;
+}
+
+void RunDesk::takeListed(WorkerView& view, const LookAnswer& answer, TimePoint sentAt, TimePoint now)
+{
+    std::set<RunRef> listed;
+    for (const auto& item : answer.running) {
+        listed.insert(item.run);
+        const auto found = m_runs.find(item.run);
+        if (found == m_runs.end() || found->second.life != view.life()) {
+            // Nothing in the record places it here.
+            m_strays.try_emplace(item.run, Stray { .life = view.life(), .nextTry = now });
+            continue;
+        }
+        RunView& run = found->second;
+        confirm(run, sentAt);
+        if (run.percent != item.percent)
+            run.progressAt = now;
+        run.percent = item.percent;
+        run.checkpoint = item.checkpoint;
+    }
+    for (const auto& item : answer.ended) {
+        listed.insert(item.run);
+        if (item.number <= view.seenEnds)
+            continue;
+        view.seenEnds = item.number;
+        const auto found = m_runs.find(item.run);
+        if (found != m_runs.end() && found->second.life == view.life())
+            finish(found->second, item.end, item.checkpoint, now);
+    }
+    judgeUnlisted(view, listed, sentAt, now);
+    view.hasInheritedRuns = false;
+    std::erase_if(m_strays, [&](const auto& stray) {
+        return stray.second.life == view.life() && stray.second.isConfirmed && !listed.contains(stray.first);
+    });
+}
+
+// Judges the runs that are neither listed as present nor as ended.
+void RunDesk::judgeUnlisted(WorkerView& view, const std::set<RunRef>& listed, TimePoint sentAt, TimePoint now)
+{
+    const auto ofLife = m_runsOfLife.find(view.life());
+    if (ofLife == m_runsOfLife.end())
+        return;
+    const std::vector<RunRef> runs(ofLife->second.begin(), ofLife->second.end());
+    for (const auto& ref : runs) {
+        RunView& run = m_runs.at(ref);
+        if (listed.contains(ref) || !run.maySend())
+            continue;
+        // With the fence raised by this look, starts of earlier leaders are refused from now on.
+        if (run.isInherited)
+            finish(run, RunEnd::NeverStarted, {}, now);
+        else if (run.presentSince && *run.presentSince < sentAt)
+            finish(run, run.phase == RunView::Phase::Stopped ? RunEnd::NeverStarted : RunEnd::Lost, {}, now);
+    }
+}
+
+void RunDesk::lifeLeft(const WorkerLife& life, TimePoint now)
+{
+    if (WorkerView* view = m_board.find(life))
+        view->leftAt = now;
+}
+
+std::optional<WorkerMs> RunDesk::leaseFor(WorkerView& view, TimePoint now)
+{
+    if (!view.clock.isKnown())
+        return std::nullopt;
+    const WorkerMs until = view.clock.atLeast(now) + m_settings.maxLease / 1ms;
+    // Whoever carries the order out, and whenever: nothing runs past this moment because of it.
+    view.leaseEnd = std::max(view.leaseEnd, view.clock.surelyReached(until) + m_settings.leaseMargin);
+    return until;
+}
+
+void RunDesk::advance(TimePoint now, Orders& orders)
+{
+    checkGangs(now);
+    for (auto& [life, view] : m_board.views())
+        advanceLife(life, view, now, orders);
+    const std::vector<RunRef> unsettled(m_unsettled.begin(), m_unsettled.end());
+    for (const auto& ref : unsettled) {
+        const auto found = m_runs.find(ref);
+        if (found != m_runs.end())
+            advanceRun(found->second, now, orders);
+    }
+    advanceStrays(now, orders);
+}
+
+void RunDesk::checkGangs(TimePoint now)
+{
+    std::vector<RunRef> late;
+    for (const auto& [key, gang] : m_gangs) {
+        const bool isIncomplete = gang.hasFirstSent && !gang.hasEnded && gang.confirmed < gang.members.size();
+        if (isIncomplete && !gang.isBreaking
+            && now - gang.firstSentAt > m_settings.gangPatience - m_settings.gangMargin)
+            late.push_back(*gang.members.begin());
+    }
+    for (const auto& ref : late) {
+        const RunView& run = m_runs.at(ref);
+        // A gang that an earlier leader started is judged by what its workers list.
+        if (!run.isInherited)
+            breakGang(run, now);
+    }
+}
+
+void RunDesk::advanceLife(const WorkerLife& life, WorkerView& view, TimePoint now, Orders& orders)
+{
+    const bool hasRuns = m_runsOfLife.contains(life);
+    const bool isOver = (view.leftAt && now - *view.leftAt > leavingTime && !view.isLookInFlight)
+        || m_board.isSucceeded(life);
+    if (hasRuns && (isOver || now >= view.leaseEnd))
+        loseAll(life, now);
+    if (isOver || view.isLookInFlight || now < view.nextLookAt)
+        return;
+    const bool hasStrays = std::any_of(
+        m_strays.begin(), m_strays.end(), [&](const auto& stray) { return stray.second.life == life; });
+    const bool isUnfenced = view.isProfileKnown && !view.isFenced && !view.clock.isKnown();
+    const bool isOwed = view.confirmedEnds < view.recordedEnds;
+    if (!hasRuns && !hasStrays && !isUnfenced && !isOwed)
+        return;
+    // While ends wait for their record, another look would list them again at once.
+    if (view.recordedEnds < view.seenEnds)
+        return;
+    // A first look, or one after a failure, does not wait: what runs there must be known soon.
+    const bool mayWait = view.isFenced && !view.failedCalls && hasRuns;
+    view.isLookInFlight = true;
+    ++view.looksSent;
+    orders.looks.push_back({ .life = life,
+        .fence = m_fence,
+        .recordedEnds = view.recordedEnds,
+        .leaseUntil = hasRuns ? leaseFor(view, now) : std::nullopt,
+        .wait = mayWait ? m_settings.lookWait : Duration(0) });
+}
+
+void RunDesk::loseAll(const WorkerLife& life, TimePoint now)
+{
+    const auto& refs = m_runsOfLife.at(life);
+    const std::vector<RunRef> runs(refs.begin(), refs.end());
+    for (const auto& ref : runs) {
+        const auto found = m_runs.find(ref);
+        if (found == m_runs.end() || !found->second.maySend())
+            continue;
+        finish(found->second, found->second.phase == RunView::Phase::Unsent ? RunEnd::NeverStarted : RunEnd::Lost, {},
+            now);
+    }
+}
+
+void RunDesk::advanceRun(RunView& run, TimePoint now, Orders& orders)
+{
+    if (!run.maySend() || run.isCallInFlight || now < run.nextTry)
+        return;
+    WorkerView* view = m_board.find(run.life);
+    if (!view || run.isInherited)
+        return;
+    if (run.phase == RunView::Phase::Stopping) {
+        run.isCallInFlight = true;
+        orders.stops.push_back({ .life = run.life, .run = run.run, .fence = m_fence });
+        return;
+    }
+    if (run.phase != RunView::Phase::Unsent && run.phase != RunView::Phase::Sent)
+        return;
+    const WorkflowRecord* record = m_state.find(run.run.task.step.workflow);
+    const TaskRecord* task = record ? record->find(run.run.task) : nullptr;
+    const auto until = leaseFor(*view, now);
+    if (!task || !until)
+        return;
+    run.phase = RunView::Phase::Sent;
+    run.isCallInFlight = true;
+    if (run.isGang) {
+        Gang& gang = m_gangs.at({ run.run.task.step, run.run.run });
+        if (!std::exchange(gang.hasFirstSent, true))
+            gang.firstSentAt = now;
+    }
+    orders.starts.push_back({ .life = run.life,
+        .run = run.run,
+        .command = record->spec.command,
+        .checkpoint = task->checkpoint,
+        .permit = run.permit,
+        .leaseUntil = *until,
+        .fence = m_fence });
+}
+
+void RunDesk::advanceStrays(TimePoint now, Orders& orders)
+{
+    for (auto& [ref, stray] : m_strays) {
+        if (stray.isInFlight || stray.isConfirmed || now < stray.nextTry)
+            continue;
+        stray.isInFlight = true;
+        orders.stops.push_back({ .life = stray.life, .run = ref, .fence = m_fence });
+    }
+}
+
+std::vector<EndRuns::Entry> RunDesk::takeEnds() { return std::exchange(m_ends, {}); }
+
+RunDesk::RecordedMark RunDesk::mark() const
+{
+    RecordedMark mark;
+    for (const auto& [life, view] : m_board.views()) {
+        if (view.recordedEnds < view.seenEnds)
+            mark.ends.emplace_back(life, view.seenEnds);
+    }
+    return mark;
+}
+
+void RunDesk::recorded(const RecordedMark& mark)
+{
+    for (const auto& [life, number] : mark.ends) {
+        if (WorkerView* view = m_board.find(life))
+            view->recordedEnds = std::max(view->recordedEnds, number);
+    }
+}
+
+const RunView* RunDesk::find(const RunRef& ref) const
+{
+    const auto found = m_runs.find(ref);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkerBoard.cpp
@@ -0,0 +1,167 @@
+#include "workflow/WorkerBoard.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+/// Runs that fail in a row before a worker gets only single probes. One failure is more often the task's own fault.
+constexpr uint32_t failuresBeforeProbation = 2;
+/// First and longest time without new work; doubled with each further failure.
+constexpr Duration firstProbation = 2s;
+constexpr Duration longestProbation = 16s;
+
+} // namespace
+
+Resources occupied(const StepSpec& step)
+{
+    Resources size = step.perTask;
+    if (step.usesSpareCapacity)
+        size.millicores = Millicores(0);
+    return size;
+}
+
+void WorkerBoard::clear() { m_views.clear(); }
+
+WorkerBoard::News WorkerBoard::reported(const WorkerReport& report, TimePoint now)
+{
+    const WorkerLife& life = report.profile.life;
+    if (isSucceeded(life))
+        return News::Stale;
+    WorkerView& view = m_views[life];
+    const bool isNew = !view.isProfileKnown;
+    if (!isNew && report.sequence <= view.sequence)
+        return News::Stale;
+    const bool isChanged = isNew || !(view.profile == report.profile);
+    view.profile = report.profile;
+    view.isProfileKnown = true;
+    view.sequence = report.sequence;
+    view.heardAt = now;
+    if (report.clock)
+        view.clock.observed(*report.clock, now);
+    return isChanged ? News::Changed : News::Known;
+}
+
+WorkerView& WorkerBoard::recorded(const WorkerProfile& profile, TimePoint now)
+{
+    WorkerView& view = m_views[profile.life];
+    view.profile = profile;
+    view.isProfileKnown = true;
+    // Until it answers or reports, it counts as heard now: most workers of the record are still there.
+    view.heardAt = now;
+    return view;
+}
+
+WorkerView& WorkerBoard::fromRun(const WorkerLife& life, TimePoint leaseEnd)
+{
+    WorkerView& view = m_views[life];
+    view.profile.life = life;
+    view.leaseEnd = std::max(view.leaseEnd, leaseEnd);
+    return view;
+}
+
+WorkerView* WorkerBoard::find(const WorkerLife& life)
+{
+    const auto found = m_views.find(life);
+    return found == m_views.end() ? nullptr : &found->second;
+}
+
+const WorkerView* WorkerBoard::find(const WorkerLife& life) const
+{
+    const auto found = m_views.find(life);
+    return found == m_views.end() ? nullptr : &found->second;
+}
+
+WorkerView* WorkerBoard::current(const WorkerId& worker)
+{
+    // Lives are ordered by id, then by birth.
+    auto after = m_views.upper_bound(WorkerLife { worker, std::numeric_limits<int64_t>::max(), "\x7f" });
+    if (after == m_views.begin())
+        return nullptr;
+    --after;
+    return after->first.worker == worker ? &after->second : nullptr;
+}
+
+void WorkerBoard::forget(const WorkerLife& life) { m_views.erase(life); }
+
+bool WorkerBoard::isSucceeded(const WorkerLife& life) const
+{
+    return std::any_of(m_views.begin(), m_views.end(), [&](const auto& item) {
+        const WorkerLife& other = item.first;
+        const bool isSamePlace = other.worker == life.worker || other.address == life.address;
+        return item.second.isProfileKnown && isSamePlace && other.bornMs > life.bornMs;
+    });
+}
+
+bool WorkerBoard::isUsable(const WorkerView& view, TimePoint now) const
+{
+    return view.isProfileKnown && !view.profile.isDraining && !view.leftAt && view.clock.isKnown()
+        && now - view.heardAt < m_settings.silentAfter && now >= view.usableFrom && now >= view.probationEnd
+        && !view.hasInheritedRuns;
+}
+
+bool WorkerBoard::isSuitable(const WorkerView& view, const PoolName& pool, const StepSpec& step)
+{
+    return view.profile.pool == pool && (step.requiredLabel.empty() || view.profile.hasLabel(step.requiredLabel));
+}
+
+uint32_t WorkerBoard::roomFor(const WorkerView& view, const StepRef& step, const StepSpec& spec, uint32_t most)
+{
+    uint32_t limit = most;
+    if (spec.maxPerWorker) {
+        const auto present = view.tasksOfStep.find(step);
+        const uint32_t count = present == view.tasksOfStep.end() ? 0 : present->second;
+        limit = std::min(limit, spec.maxPerWorker > count ? spec.maxPerWorker - count : 0);
+    }
+    const Resources size = occupied(spec);
+    const Resources free = view.free();
+    const auto fit = [&](int64_t have, int64_t need) {
+        if (need <= 0)
+            return;
+        limit = std::min(limit, static_cast<uint32_t>(std::max<int64_t>(0, std::min<int64_t>(have / need, limit))));
+    };
+    fit(free.millicores.count(), size.millicores.count());
+    fit(free.mebibytes.count(), size.mebibytes.count());
+    fit(free.accelerators.count(), size.accelerators.count());
+    return limit;
+}
+
+void WorkerBoard::occupy(WorkerView& view, const StepRef& step, const StepSpec& spec)
+{
+    view.used += occupied(spec);
+    ++view.tasksOfStep[step];
+}
+
+void WorkerBoard::release(WorkerView& view, const StepRef& step, const StepSpec& spec)
+{
+    view.used -= occupied(spec);
+    const auto present = view.tasksOfStep.find(step);
+    if (present != view.tasksOfStep.end() && !--present->second)
+        view.tasksOfStep.erase(present);
+}
+
+void WorkerBoard::runEnded(WorkerView& view, RunEnd end, TimePoint now)
+{
+    if (end == RunEnd::Done) {
+        view.failedRuns = 0;
+        view.probation = Duration(0);
+    }
+    if (end != RunEnd::Failed || ++view.failedRuns < failuresBeforeProbation)
+        return;
+    view.probation = std::clamp(view.probation * 2, firstProbation, longestProbation);
+    view.probationEnd = now + view.probation;
+}
+
+Millicores WorkerBoard::capacity(const PoolName& pool, TimePoint now) const
+{
+    Millicores sum;
+    for (const auto& [life, view] : m_views) {
+        if (view.profile.pool == pool && isUsable(view, now))
+            sum += view.profile.capacity.millicores;
+    }
+    return sum;
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkerBoard.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "workflow/RunEnd.h"
+#include "workflow/SchedulerSettings.h"
+#include "workflow/StepSpec.h"
+#include "workflow/WorkerReport.h"
+#include "workflow/WorkerView.h"
+
+namespace hickoryknot::workflow {
+
+/// All lives of workers that the leader knows: who can take work, and how much room there is.
+class WorkerBoard {
+public:
+    explicit WorkerBoard(const SchedulerSettings& settings)
+        : m_settings(settings)
+    {
+    }
+
+    void clear();
+
+    /// What a report means for the record.
+    enum class News : uint8_t {
+        Stale, // From an ended life, or overtaken by a later report.
+        Known,
+        Changed, // A new life, or a profile that differs from the recorded one.
+    };
+    News reported(const WorkerReport&, TimePoint now);
+
+    /// A life that the record names; creates it if need be.
+    WorkerView& recorded(const WorkerProfile&, TimePoint now);
+    /// A life that only placed runs refer to.
+    WorkerView& fromRun(const WorkerLife&, TimePoint leaseEnd);
+
+    WorkerView* find(const WorkerLife&);
+    const WorkerView* find(const WorkerLife&) const;
+    /// The latest life under this id; null if none is known.
+    WorkerView* current(const WorkerId&);
+    void forget(const WorkerLife&);
+
+    /// True if a later life under the same id, or at the same address, shows that this one has ended.
+    bool isSucceeded(const WorkerLife&) const;
+
+    /// True if new work may be sent to the worker at all.
+    bool isUsable(const WorkerView&, TimePoint now) const;
+    /// True if the rules of the step allow the worker, room and limits per worker aside.
+    static bool isSuitable(const WorkerView&, const PoolName&, const StepSpec&);
+    /// Tasks of the step that fit in addition, `most` at the most.
+    static uint32_t roomFor(const WorkerView&, const StepRef&, const StepSpec&, uint32_t most);
+
+    static void occupy(WorkerView&, const StepRef&, const StepSpec&);
+    static void release(WorkerView&, const StepRef&, const StepSpec&);
+
+    /// Learns from the end of a run whether the worker fails what it starts.
+    void runEnded(WorkerView&, RunEnd, TimePoint now);
+
+    /// All lives, in a fixed order.
+    std::map<WorkerLife, WorkerView>& views() { return m_views; }
+    const std::map<WorkerLife, WorkerView>& views() const { return m_views; }
+
+    /// Processors of all workers of a pool that may get work.
+    Millicores capacity(const PoolName&, TimePoint now) const;
+
+private:
+    const SchedulerSettings& m_settings;
+    std::map<WorkerLife, WorkerView> m_views;
+};
+
+/// Resources that a task takes from a worker's capacity.
+Resources occupied(const StepSpec&);
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkerOrders.cpp
@@ -0,0 +1,15 @@
+#include "workflow/WorkerOrders.h"
+
+#include <array>
+#include <cstddef>
+
+namespace hickoryknot::workflow {
+
+const char* orderVerdictName(OrderVerdict verdict)
+{
+    constexpr std::array names { "done", "fenced", "outdated", "tooLate", "noRoom", "noPermit", "unhealthy",
+        "wrongLife", "invalid", "noAnswer", "notSent" };
+    return names[static_cast<size_t>(verdict)];
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkerProfile.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/Resources.h"
+#include "workflow/WorkerLife.h"
+#include "workflow/WorkflowIds.h"
+
+namespace hickoryknot::workflow {
+
+/// What is recorded of a worker, so that a new leader can use it without waiting for its next report.
+struct WorkerProfile {
+    WorkerLife life;
+    PoolName pool;
+    ZoneId zone;
+    RackId rack;
+    std::vector<std::string> labels;
+    Resources capacity;
+    /// The worker has announced that it leaves and takes no new work.
+    bool isDraining { false };
+
+    bool hasLabel(const std::string& label) const
+    {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
+
+    friend bool operator==(const WorkerProfile&, const WorkerProfile&) = default;
+};
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkerView.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "core/Resources.h"
+#include "workflow/WorkerClock.h"
+#include "workflow/WorkerProfile.h"
+#include "workflow/WorkflowIds.h"
+
+namespace hickoryknot::workflow {
+
+/// What the leader knows of one life of a worker. Soft state of one leadership.
+struct WorkerView {
+    WorkerProfile profile;
+    bool isProfileKnown { false }; // False: only runs from the record refer to this life.
+    uint64_t sequence { 0 };
+    WorkerClock clock;
+    TimePoint heardAt;
+    /// Sum over runs that may occupy the worker; processors of tasks that use spare capacity are left out.
+    Resources used;
+    /// Tasks by step, for limits per worker.
+    std::map<StepRef, uint32_t> tasksOfStep;
+
+    /// Looks and leases.
+    bool isFenced { false }; // It has answered a call of this leadership.
+    bool hasInheritedRuns { false }; // Placed by an earlier leader and not yet seen by this one.
+    bool isLookInFlight { false };
+    uint64_t looksSent { 0 };
+    TimePoint nextLookAt;
+    uint64_t seenEnds { 0 }; // Highest end number taken in.
+    uint64_t recordedEnds { 0 }; // Ends up to this number are recorded.
+    uint64_t confirmedEnds { 0 }; // The worker has been told that ends up to this number are recorded.
+    /// From then on nothing runs there unless a lease is renewed.
+    TimePoint leaseEnd;
+    uint32_t failedCalls { 0 }; // In a row.
+    TimePoint usableFrom; // After failed calls.
+    std::optional<TimePoint> leftAt; // The worker said that it ends.
+
+    /// Runs that ended in a row as failed, by different workflows; see WorkerBoard::runEnded().
+    uint32_t failedRuns { 0 };
+    TimePoint probationEnd;
+    Duration probation { 0 };
+
+    const WorkerLife& life() const { return profile.life; }
+    Resources free() const { return profile.capacity - used; }
+};
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkflowFields.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "state/StateFields.h"
+#include "workflow/WorkflowCommand.h"
+#include "workflow/WorkflowRecord.h"
+
+namespace hickoryknot::workflow {
+
+// The largest value of each enumeration that is recorded; larger ones count as corrupt.
+constexpr RunEnd lastValueOf(RunEnd) { return RunEnd::NeverStarted; }
+constexpr TaskOutcome lastValueOf(TaskOutcome) { return TaskOutcome::Failed; }
+constexpr WorkflowPhase lastValueOf(WorkflowPhase) { return WorkflowPhase::Cancelled; }
+
+// Each overload names the members of one structure in the order in which they are recorded.
+
+template <typename V> void visitFields(V& visit, SameAs<StepRef> auto& x) { visit(x.workflow, x.occurrence, x.step); }
+template <typename V> void visitFields(V& visit, SameAs<TaskRef> auto& x) { visit(x.step, x.index); }
+template <typename V> void visitFields(V& visit, SameAs<RunRef> auto& x) { visit(x.task, x.run); }
+template <typename V> void visitFields(V& visit, SameAs<StepSpec> auto& x)
+{
+    visit(x.count, x.perTask, x.estimate, x.after, x.isCheckpointing, x.isGang, x.prefersOneRack, x.requiredLabel,
+        x.dataRack, x.maxPerWorker, x.mayRace, x.isLongRunning, x.image, x.latencyTarget, x.usesSpareCapacity,
+        x.maxUnavailable);
+}
+template <typename V> void visitFields(V& visit, SameAs<WorkflowSpec> auto& x)
+{
+    visit(x.command, x.steps, x.repeatCount, x.firstMs, x.intervalMs);
+}
+template <typename V> void visitFields(V& visit, SameAs<PermissionCost> auto& x)
+{
+    visit(x.isNeeded, x.perCall, x.perWorker, x.validity);
+}
+template <typename V> void visitFields(V& visit, SameAs<Queue> auto& x)
+{
+    visit(x.name, x.callerHost, x.pathPrefix, x.pool, x.priority, x.maxAttempts, x.stretchPermille, x.targetLatency,
+        x.callTimeout, x.permission);
+}
+template <typename V> void visitFields(V& visit, SameAs<Pool> auto& x)
+{
+    visit(x.name, x.refusesOverload, x.isStandby);
+}
+template <typename V> void visitFields(V& visit, SameAs<QueueTable> auto& x)
+{
+    visit(x.version, x.queues, x.pools, x.document);
+}
+template <typename V> void visitFields(V& visit, SameAs<WorkerLife> auto& x)
+{
+    visit(x.worker, x.bornMs, x.address);
+}
+template <typename V> void visitFields(V& visit, SameAs<WorkerProfile> auto& x)
+{
+    visit(x.life, x.pool, x.zone, x.rack, x.labels, x.capacity, x.isDraining);
+}
+template <typename V> void visitFields(V& visit, SameAs<TaskRecord> auto& x)
+{
+    visit(x.outcome, x.run, x.failures, x.isPlaced, x.life, x.checkpoint);
+}
+template <typename V> void visitFields(V& visit, SameAs<StepRecord> auto& x)
+{
+    visit(x.tasks, x.open, x.placed, x.gangFailures, x.lastFailedRun);
+}
+template <typename V> void visitFields(V& visit, SameAs<OccurrenceRecord> auto& x) { visit(x.number, x.isFinished, x.steps); }
+template <typename V> void visitFields(V& visit, SameAs<WorkflowRecord> auto& x)
+{
+    visit(x.id, x.queue, x.pool, x.maxAttempts, x.spec, x.phase, x.acceptedMs, x.hasStarted, x.occurrences, x.begun,
+        x.finished, x.placed);
+}
+
+template <typename V> void visitFields(V& visit, SameAs<ReplaceTable> auto& x) { visit(x.table); }
+template <typename V> void visitFields(V& visit, SameAs<AcceptWorkflow> auto& x)
+{
+    visit(x.id, x.queue, x.pool, x.maxAttempts, x.spec, x.acceptedMs);
+}
+template <typename V> void visitFields(V& visit, SameAs<CancelWorkflow> auto& x) { visit(x.id); }
+template <typename V> void visitFields(V& visit, SameAs<ForgetWorkflows> auto& x) { visit(x.ids); }
+template <typename V> void visitFields(V& visit, SameAs<BeginOccurrence> auto& x) { visit(x.id, x.occurrence); }
+template <typename V> void visitFields(V& visit, SameAs<PlaceRuns::Entry> auto& x) { visit(x.run, x.life); }
+template <typename V> void visitFields(V& visit, SameAs<PlaceRuns> auto& x) { visit(x.lives, x.entries); }
+template <typename V> void visitFields(V& visit, SameAs<EndRuns::Entry> auto& x)
+{
+    visit(x.run, x.end, x.checkpoint);
+}
+template <typename V> void visitFields(V& visit, SameAs<EndRuns> auto& x) { visit(x.entries); }
+template <typename V> void visitFields(V& visit, SameAs<RecordWorkers> auto& x) { visit(x.profiles); }
+template <typename V> void visitFields(V& visit, SameAs<ForgetWorkers> auto& x) { visit(x.lives); }
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkflowRecord.cpp
@@ -0,0 +1,28 @@
+#include "workflow/WorkflowRecord.h"
+
+#include <algorithm>
+
+namespace hickoryknot::workflow {
+
+const OccurrenceRecord* WorkflowRecord::find(uint32_t occurrence) const
+{
+    const auto found = std::find_if(occurrences.begin(), occurrences.end(),
+        [&](const OccurrenceRecord& record) { return record.number == occurrence; });
+    return found == occurrences.end() ? nullptr : &*found;
+}
+
+OccurrenceRecord* WorkflowRecord::find(uint32_t occurrence)
+{
+    return const_cast<OccurrenceRecord*>(std::as_const(*this).find(occurrence)); // NOLINT: both find the same record
+}
+
+const TaskRecord* WorkflowRecord::find(const TaskRef& task) const
+{
+    const auto* occurrence = find(task.step.occurrence);
+    if (!occurrence || task.step.step >= occurrence->steps.size())
+        return nullptr;
+    const auto& tasks = occurrence->steps[task.step.step].tasks;
+    return task.index < tasks.size() ? &tasks[task.index] : nullptr;
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkflowScheduler.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "workflow/AdmissionGate.h"
+#include "workflow/Planner.h"
+#include "workflow/RunDesk.h"
+#include "workflow/WorkflowRecord.h"
+#include "workflow/WorkflowListener.h"
+
+namespace hickoryknot::workflow {
+
+class WorkflowState;
+
+/// Runs on the leader of the group that holds the workflows: takes reports and answers of workers, decides what starts
+/// where, and says what to record and what to send. Deterministic and not thread safe; all calls, and apply() of the
+/// state, come from one thread.
+class WorkflowScheduler final : private WorkflowListener {
+public:
+    /// Keeps references; registers itself as the state's listener.
+    WorkflowScheduler(const SchedulerSettings&, WorkflowState&);
+    ~WorkflowScheduler() override;
+
+    /// The host leads, and the state holds all entries of earlier terms. `fence` is higher than that of every earlier
+    /// leadership.
+    void becomeLeader(uint64_t fence, TimePoint now, WallTime wall);
+    void resign();
+    bool isLeader() const { return m_isLeader; }
+    uint64_t fence() const { return m_fence; }
+
+    // What workers and the permission service say. `sentAt` is the moment before the call was sent.
+    void workerReported(const WorkerReport&, TimePoint now);
+    void workerLeft(const WorkerId&, TimePoint now);
+    void startAnswered(const StartOrder&, const OrderAnswer&, TimePoint sentAt, TimePoint now);
+    void stopAnswered(const StopOrder&, const OrderAnswer&, TimePoint now);
+    void lookAnswered(const LookOrder&, const Expected<LookAnswer>&, TimePoint sentAt, TimePoint now);
+    void permitAnswered(const PermitRequest&, const Expected<PermitAnswer>&, TimePoint now);
+
+    /// True if the worker with this report is recorded as it reports itself; only then may the report be confirmed.
+    bool isRecorded(const WorkerReport&) const;
+
+    /// What is due. Commands are recorded as one entry; recorded() or resign() follows.
+    struct Output {
+        /// Zero: there is nothing to record.
+        uint64_t batch { 0 };
+        std::vector<WorkflowCommand> commands;
+        RunDesk::Orders orders;
+        std::vector<PermitRequest> permits;
+    };
+    Output advance(TimePoint now, WallTime wall);
+
+    /// The batch is recorded and applied.
+    void recorded(uint64_t batch, TimePoint now);
+
+    /// Refuses a workflow that cannot be served in time; see AdmissionGate.
+    std::optional<Duration> refusal(const Queue&, const WorkflowSpec&, double spread, TimePoint now) const;
+
+    /// Accepted workflows of a queue of which no task has started.
+    size_t pending(const QueueName&) const;
+
+    /// Why the workflow is where it is, for a person; empty if it is not known.
+    std::string explain(const WorkflowId&, TimePoint now, WallTime wall) const;
+
+    const WorkerBoard& board() const { return m_board; }
+    const RunDesk& desk() const { return m_desk; }
+    size_t readySteps() const { return m_ready.size(); }
+
+private:
+    struct Batch {
+        std::vector<RunRef> placed;
+        std::vector<RunRef> ended;
+        RunDesk::RecordedMark mark;
+    };
+    /// Soft state of an open workflow.
+    struct Tracked {
+        std::vector<StepRef> ready;
+        double work { 0 }; // Estimated work that is not done; thousandths of a core times microseconds.
+        uint32_t priority { 0 };
+        TimePoint acceptedAt;
+        bool isPending { false };
+        QueueName queue;
+    };
+
+    void workflowChanged(const WorkflowId&) override;
+    void tableChanged() override;
+
+    void refreshChanged(TimePoint now, WallTime wall);
+    void refresh(const WorkflowId&, TimePoint now, WallTime wall);
+    void untrack(const WorkflowId&);
+    void drop(Tracked&);
+    void collectReady(const WorkflowRecord&, Tracked&, TimePoint now, WallTime wall);
+    void stopUnwanted(const WorkflowRecord&, TimePoint now);
+    Queue queueOf(const WorkflowRecord&) const;
+    void beginDueOccurrences(std::vector<WorkflowCommand>&, WallTime wall);
+    void recordWorkers(std::vector<WorkflowCommand>&, TimePoint now);
+    void forgetEnded(std::vector<WorkflowCommand>&, TimePoint now);
+    void placeReady(Output&, Batch&, TimePoint now);
+
+    SchedulerSettings m_settings;
+    WorkflowState& m_state;
+    bool m_isLeader { false };
+    uint64_t m_fence { 0 };
+
+    WorkerBoard m_board;
+    RunDesk m_desk;
+    PermitBook m_permits;
+    Planner m_planner;
+    AdmissionGate m_gate;
+
+    std::set<WorkflowId> m_changed;
+    std::map<WorkflowId, Tracked> m_tracked;
+    std::map<StepRef, ReadyStep> m_ready;
+    AdmissionGate::Load m_load;
+    std::map<QueueName, size_t> m_pendingOfQueue;
+    /// Timed workflows by the calendar time of their next occurrence, in milliseconds.
+    std::set<std::pair<int64_t, WorkflowId>> m_timed;
+    std::map<WorkflowId, int64_t> m_nextDue;
+    /// Ended workflows in the order in which their ends were seen.
+    std::deque<std::pair<TimePoint, WorkflowId>> m_ended;
+    std::set<WorkflowId> m_knownEnded;
+
+    std::set<WorkerId> m_unrecorded;
+    std::map<uint64_t, Batch> m_batches;
+    uint64_t m_nextBatch { 1 };
+    bool m_mayPlan { true };
+};
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/src/workflow/WorkflowSpec.cpp
@@ -0,0 +1,86 @@
+#include "workflow/WorkflowSpec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "protocol/ProtocolLimits.h"
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+/// Bytes of the command text; the caller-facing protocol promises 4,000.
+constexpr size_t maxCommandBytes = 4096;
+/// Steps of one workflow and tasks of one step: the record of a workflow stays below one log message.
+constexpr size_t maxSteps = 64;
+constexpr uint32_t maxTasks = 2000;
+constexpr uint32_t maxOccurrences = 1'000'000;
+constexpr size_t maxLabelBytes = 128;
+
+tl::unexpected<Error> invalid(std::string message)
+{
+    return makeError(ErrorCode::InvalidArgument, std::move(message));
+}
+
+Expected<void> checkStep(const StepSpec& step, size_t index)
+{
+    if (step.count < 1 || step.count > maxTasks)
+        return invalid(fmt::format("step {} has {} tasks; 1 to {} are allowed", index, step.count, maxTasks));
+    const auto& size = step.perTask;
+    const bool isSizeValid = size.millicores.count() >= 0
+        && size.millicores.count() <= protocol_limits::maxMillicores && size.mebibytes.count() >= 0
+        && size.mebibytes.count() <= protocol_limits::maxMebibytes && size.accelerators.count() >= 0
+        && size.accelerators.count() <= protocol_limits::maxAccelerators;
+    if (!isSizeValid)
+        return invalid(fmt::format("step {} asks for resources out of range", index));
+    for (const uint32_t earlier : step.after) {
+        if (earlier >= index)
+            return invalid(fmt::format("step {} depends on step {}, which is not an earlier one", index, earlier));
+    }
+    if (step.requiredLabel.size() > maxLabelBytes || step.image.size() > maxLabelBytes)
+        return invalid(fmt::format("step {} has a label or image of more than {} bytes", index, maxLabelBytes));
+    if (step.estimate < Duration::zero() || step.estimate > protocol_limits::maxRunTime)
+        return invalid(fmt::format("step {} has an estimate out of range", index));
+    return {};
+}
+
+} // namespace
+
+Expected<void> checkWorkflowSpec(const WorkflowSpec& spec)
+{
+    if (spec.command.size() > maxCommandBytes)
+        return makeError(ErrorCode::TooLarge, fmt::format("the command has more than {} bytes", maxCommandBytes));
+    if (spec.steps.empty() || spec.steps.size() > maxSteps)
+        return invalid(fmt::format("a workflow has 1 to {} steps", maxSteps));
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+        if (auto checked = checkStep(spec.steps[i], i); !checked)
+            return checked;
+    }
+    if (spec.repeatCount > maxOccurrences || spec.intervalMs < 0 || spec.firstMs < 0)
+        return invalid("the times of the occurrences are out of range");
+    return {};
+}
+
+Duration longestChain(const WorkflowSpec& spec)
+{
+    Duration longest { 0 };
+    for (uint32_t i = 0; i < spec.steps.size(); ++i)
+        longest = std::max(longest, chainFrom(spec, i));
+    return longest;
+}
+
+Duration chainFrom(const WorkflowSpec& spec, uint32_t step)
+{
+    // Steps depend on earlier ones only, so one pass from the end sees each follower before its predecessors.
+    std::vector<Duration> chains(spec.steps.size());
+    for (size_t i = spec.steps.size(); i-- > step;) {
+        chains[i] += spec.steps[i].estimate;
+        for (const uint32_t earlier : spec.steps[i].after) {
+            if (earlier >= step)
+                chains[earlier] = std::max(chains[earlier], chains[i]);
+        }
+    }
+    return chains[step];
+}
+
+} // namespace hickoryknot::workflow
--- a/tests/scheduler/ClusterSafetyTest.cpp
+++ b/tests/scheduler/ClusterSafetyTest.cpp
@@ -43,9 +43,11 @@
     // Guards against the return of faults that a longer run once found.
     void regressionsStayMended()
     {
-        // 283: a replaced leader acknowledged the end of a task that its successor had started.
-        for (const uint64_t seed : { 283 })
-            runSeeds(seed, 1, makeEngine);
+        // A replaced leader acknowledged the end of a task that its successor had started.
+        runSeeds(283, 1, makeEngine);
+        // The cell took a zone's jobs while leases granted before a change of the cut-off rule still ran.
+        runSeeds(1592, 1, makeEngine);
+        runSeeds(177, 1, [] { return std::make_unique<FirstFitPlacer>(); });
     }
 
     static std::unique_ptr<Placer> makeEngine() { return std::make_unique<EnginePlacer>(PlacementSettings {}); }
--- a/tests/scheduler/ClusterWorld.cpp
+++ b/tests/scheduler/ClusterWorld.cpp
@@ -356,7 +356,7 @@
     mail->message.leadsZone = true;
     mail->message.zoneTerm = host.zone.term;
     mail->message.zoneEpoch = zone ? zone->epoch : 0;
-    mail->message.zoneCutOffVersion = host.zoneState.cutOffVersion();
+    mail->message.zoneCutOffVersion = host.scheduler.cutOffVersionInForce(host.clock.at(m_trueTime));
     mail->message.free = host.scheduler.freeCapacity();
     // Every host that believes to lead the cell may answer.
     for (auto* candidate : m_hosts) {
--- a/tests/scheduler/ZoneSchedulerTest.cpp
+++ b/tests/scheduler/ZoneSchedulerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(newLeaderWaitsForInheritedLeases);
     CPPUNIT_TEST(endsAreAcknowledgedOnceRecorded);
     CPPUNIT_TEST(replacedLeaderLeavesLaterAssignmentsAlone);
+    CPPUNIT_TEST(newCutOffRuleWaitsForOlderLeases);
     CPPUNIT_TEST(leavingWorkerGetsNothingNew);
     CPPUNIT_TEST(cancelledTasksAreStopped);
     CPPUNIT_TEST(jobThatNoWorkerCanRunIsRefused);
@@ -149,6 +150,24 @@
         CPPUNIT_ASSERT(running.stop.empty());
     }
 
+    // Guards against a job that runs in two zones: the cell took a cut off zone's jobs as soon as the zone had recorded
+    // cutOff=stop, while task leases granted under cutOff=keep still ran. Seeds 177 and 1592 of ClusterSafetyTest.
+    void newCutOffRuleWaitsForOlderLeases()
+    {
+        leadWithWorker();
+        Row row;
+        row.name = RowName("default");
+        row.cutOff = CutOffRule::Stop;
+        const uint64_t base = m_cell.table().version();
+        m_cell.execute(SetTable { .change = { .baseVersion = base, .request = RequestId("op"), .rows = { row } } });
+        settle();
+        CPPUNIT_ASSERT_EQUAL(base + 1, m_state.cutOffVersion());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, m_scheduler.cutOffVersionInForce(m_now));
+        const LeaseTimes times;
+        m_now = LeaseBound(times).expiry(m_now, times.task);
+        CPPUNIT_ASSERT_EQUAL(base + 1, m_scheduler.cutOffVersionInForce(m_now));
+    }
+
     // Guards against a leader that was replaced without knowing it and keeps its tasks alive.
     void unconfirmedLeaderGrantsNoLease()
     {
