--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -56,8 +56,10 @@
         data.workflows.insert_or_assign(id, std::move(record));
     }
     reader(count);
-    for (uint64_t i = 0; i < count && reader.isOk(); ++i)
-        reader(data.lives.emplace_back().life, data.lives.back().runs);
+    for (uint64_t i = 0; i < count && reader.isOk(); ++i) {
+        LifeSlot& slot = data.lives.emplace_back();
+        reader(slot.life, slot.runs);
+    }
     reader(count);
     for (uint64_t i = 0; i < count && reader.isOk(); ++i) {
         WorkerProfile profile;
--- /dev/null
+++ b/tests/workflow/WorkflowSamples.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "workflow/WorkflowCommand.h"
+
+namespace hickoryknot::workflow {
+
+/// Commands and specifications that several tests need.
+namespace samples {
+
+inline const WorkflowId firstId("00000000000000a1");
+inline const WorkflowId secondId("00000000000000a2");
+
+inline StepSpec step(uint32_t count, int64_t millicores = 1000)
+{
+    StepSpec spec;
+    spec.count = count;
+    spec.perTask = { .millicores = Millicores(millicores), .mebibytes = Mebibytes(100), .accelerators = {} };
+    spec.estimate = 1s;
+    return spec;
+}
+
+inline Queue queue(const char* name = "q", uint32_t priority = 0)
+{
+    Queue row;
+    row.name = QueueName(name);
+    row.callerHost = "host";
+    row.pathPrefix = std::string("/") + name + "/";
+    row.pool = PoolName("pool");
+    row.priority = priority;
+    row.maxAttempts = 2;
+    row.stretchPermille = 2000;
+    row.targetLatency = 1s;
+    row.callTimeout = 3s;
+    return row;
+}
+
+inline QueueTable table(uint64_t version = 1)
+{
+    QueueTable made;
+    made.version = version;
+    made.queues = { queue("q"), queue("low", 2) };
+    made.pools = { { .name = PoolName("pool") } };
+    made.document = "{}";
+    return made;
+}
+
+inline AcceptWorkflow accept(const WorkflowId& id, std::vector<StepSpec> steps, const char* queueName = "q")
+{
+    AcceptWorkflow command;
+    command.id = id;
+    command.queue = QueueName(queueName);
+    command.pool = PoolName("pool");
+    command.maxAttempts = 2;
+    command.spec.command = "run " + id.value();
+    command.spec.steps = std::move(steps);
+    return command;
+}
+
+inline WorkerLife life(const char* worker, int64_t born = 1)
+{
+    return { .worker = WorkerId(worker), .bornMs = born, .address = std::string("10.0.0.1:") + worker };
+}
+
+inline WorkerProfile profile(const char* worker, int64_t born = 1, int64_t millicores = 4000)
+{
+    WorkerProfile made;
+    made.life = life(worker, born);
+    made.pool = PoolName("pool");
+    made.zone = ZoneId("z");
+    made.rack = RackId("r1");
+    made.labels = { "a", "r1" };
+    made.capacity = { .millicores = Millicores(millicores), .mebibytes = Mebibytes(8000), .accelerators = {} };
+    return made;
+}
+
+inline RunRef run(const WorkflowId& id, uint32_t step, uint32_t index, uint32_t number = 1)
+{
+    return { .task = { .step = { id, 0, step }, .index = index }, .run = number };
+}
+
+} // namespace samples
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -0,0 +1,230 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "WorkflowSamples.h"
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot::workflow {
+
+class WorkflowStateTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(WorkflowStateTest);
+    CPPUNIT_TEST(snapshotHoldsEverything);
+    CPPUNIT_TEST(brokenSnapshotChangesNothing);
+    CPPUNIT_TEST(resentWorkflowStaysTheSame);
+    CPPUNIT_TEST(highestTableVersionWins);
+    CPPUNIT_TEST(taskRunsInOnePlaceAtATime);
+    CPPUNIT_TEST(gangIsPlacedWholeOrNotAtAll);
+    CPPUNIT_TEST(oneMemberEndsTheGang);
+    CPPUNIT_TEST(failuresOfAGangCountOnce);
+    CPPUNIT_TEST(attemptsEndTheWorkflow);
+    CPPUNIT_TEST(longRunningTasksAreNeverDone);
+    CPPUNIT_TEST(cancelledWorkflowStartsNothing);
+    CPPUNIT_TEST(occurrencesFinishOneByOne);
+    CPPUNIT_TEST(olderLifeDoesNotReplaceANewerOne);
+    CPPUNIT_TEST_SUITE_END();
+
+    WorkflowState m_state;
+
+    void apply(std::vector<WorkflowCommand> commands) { m_state.apply(1, encodeCommands(commands)); }
+
+    void place(std::vector<RunRef> runs, const char* worker = "w")
+    {
+        PlaceRuns command;
+        command.lives = { samples::life(worker) };
+        for (const auto& run : runs)
+            command.entries.push_back({ .run = run, .life = 0 });
+        apply({ command });
+    }
+
+    void end(const RunRef& run, RunEnd how, const std::string& checkpoint = {})
+    {
+        apply({ EndRuns { .entries = { { .run = run, .end = how, .checkpoint = checkpoint } } } });
+    }
+
+    const WorkflowRecord& record() const { return *m_state.find(samples::firstId); }
+
+    // Guards against a host that cannot read its own snapshot: it crashed on every start once the log was long enough.
+    void snapshotHoldsEverything()
+    {
+        apply({ ReplaceTable { samples::table(3) }, RecordWorkers { { samples::profile("w"), samples::profile("v") } },
+            samples::accept(samples::firstId, { samples::step(3), samples::step(2) }) });
+        place({ samples::run(samples::firstId, 0, 0), samples::run(samples::firstId, 0, 1) });
+        place({ samples::run(samples::firstId, 0, 2) }, "v");
+        end(samples::run(samples::firstId, 0, 1), RunEnd::Stopped, "cp");
+        WorkflowState other;
+        CPPUNIT_ASSERT(other.restore(m_state.snapshot()));
+        CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, other.placedRuns().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), other.placedRuns().back().life->worker.value());
+        CPPUNIT_ASSERT_EQUAL(std::string("cp"), other.find(samples::firstId)->find({ { samples::firstId, 0, 0 }, 1 })->checkpoint);
+    }
+
+    // Guards against a state that a damaged snapshot has half replaced.
+    void brokenSnapshotChangesNothing()
+    {
+        apply({ ReplaceTable { samples::table(3) }, samples::accept(samples::firstId, { samples::step(1) }) });
+        place({ samples::run(samples::firstId, 0, 0) });
+        const auto whole = m_state.snapshot();
+        const auto digest = m_state.digest();
+        for (size_t length = 0; length < whole.size(); ++length)
+            CPPUNIT_ASSERT(!m_state.restore(whole.substr(0, length)));
+        CPPUNIT_ASSERT_EQUAL(digest, m_state.digest());
+    }
+
+    // Guards against a second workflow, or a changed one, when a caller sends its submission again.
+    void resentWorkflowStaysTheSame()
+    {
+        apply({ samples::accept(samples::firstId, { samples::step(2) }) });
+        place({ samples::run(samples::firstId, 0, 0) });
+        const auto digest = m_state.digest();
+        apply({ samples::accept(samples::firstId, { samples::step(5) }) });
+        CPPUNIT_ASSERT_EQUAL(digest, m_state.digest());
+    }
+
+    // Guards against an older table that replaces a newer one, and against other content under the version in force.
+    void highestTableVersionWins()
+    {
+        apply({ ReplaceTable { samples::table(5) } });
+        auto other = samples::table(5);
+        other.document = "other";
+        apply({ ReplaceTable { other }, ReplaceTable { samples::table(4) } });
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 5 }, m_state.table().version);
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), m_state.table().document);
+    }
+
+    // Guards against a second start of a task that may still run, and against a run number that is used twice.
+    void taskRunsInOnePlaceAtATime()
+    {
+        apply({ samples::accept(samples::firstId, { samples::step(1) }) });
+        place({ samples::run(samples::firstId, 0, 0, 1) });
+        place({ samples::run(samples::firstId, 0, 0, 2) }, "v");
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), m_state.placedRuns().front().life->worker.value());
+        end(samples::run(samples::firstId, 0, 0, 1), RunEnd::Lost);
+        place({ samples::run(samples::firstId, 0, 0, 1) });
+        CPPUNIT_ASSERT(m_state.placedRuns().empty());
+        place({ samples::run(samples::firstId, 0, 0, 2) });
+        end(samples::run(samples::firstId, 0, 0, 1), RunEnd::Done);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.placedRuns().size());
+        end(samples::run(samples::firstId, 0, 0, 2), RunEnd::Done);
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Completed);
+        place({ samples::run(samples::firstId, 0, 0, 3) });
+        CPPUNIT_ASSERT(m_state.placedRuns().empty());
+    }
+
+    // Guards against members of a gang that wait alone because another could not be placed.
+    void gangIsPlacedWholeOrNotAtAll()
+    {
+        auto gang = samples::step(2);
+        gang.isGang = true;
+        apply({ samples::accept(samples::firstId, { gang }) });
+        place({ samples::run(samples::firstId, 0, 0), samples::run(samples::firstId, 0, 1) });
+        end(samples::run(samples::firstId, 0, 0), RunEnd::Broken);
+        place({ samples::run(samples::firstId, 0, 0, 2), samples::run(samples::firstId, 0, 1, 2) });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.placedRuns().size());
+    }
+
+    // Guards against a gang that is finished and never shown as such, and against its workers' room counted as free
+    // before all members have ended.
+    void oneMemberEndsTheGang()
+    {
+        auto gang = samples::step(3);
+        gang.isGang = true;
+        apply({ samples::accept(samples::firstId, { gang }) });
+        place({ samples::run(samples::firstId, 0, 0), samples::run(samples::firstId, 0, 1),
+            samples::run(samples::firstId, 0, 2) });
+        end(samples::run(samples::firstId, 0, 1), RunEnd::Done);
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, m_state.placedRuns().size());
+        end(samples::run(samples::firstId, 0, 0), RunEnd::Broken);
+        end(samples::run(samples::firstId, 0, 2), RunEnd::Done);
+        CPPUNIT_ASSERT(m_state.placedRuns().empty());
+        CPPUNIT_ASSERT(record().spec.command.empty());
+    }
+
+    // Guards against a gang that uses up its attempts in one run because each member reports the failure.
+    void failuresOfAGangCountOnce()
+    {
+        auto gang = samples::step(2);
+        gang.isGang = true;
+        apply({ samples::accept(samples::firstId, { gang }) });
+        for (uint32_t number = 1; number <= 2; ++number) {
+            CPPUNIT_ASSERT(record().phase == WorkflowPhase::Active);
+            place({ samples::run(samples::firstId, 0, 0, number), samples::run(samples::firstId, 0, 1, number) });
+            end(samples::run(samples::firstId, 0, 0, number), RunEnd::Failed);
+            end(samples::run(samples::firstId, 0, 1, number), RunEnd::Failed);
+        }
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Failed);
+    }
+
+    // Guards against starts after the last attempt, and against losses that count as attempts.
+    void attemptsEndTheWorkflow()
+    {
+        apply({ samples::accept(samples::firstId, { samples::step(1) }) });
+        uint32_t number = 0;
+        for (const auto how : { RunEnd::Lost, RunEnd::Stopped, RunEnd::Failed, RunEnd::NeverStarted, RunEnd::Failed }) {
+            CPPUNIT_ASSERT(record().phase == WorkflowPhase::Active);
+            place({ samples::run(samples::firstId, 0, 0, ++number) });
+            end(samples::run(samples::firstId, 0, 0, number), how);
+        }
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Failed);
+        place({ samples::run(samples::firstId, 0, 0, ++number) });
+        CPPUNIT_ASSERT(m_state.placedRuns().empty());
+    }
+
+    // Guards against a service that is not started again because a task of it ended.
+    void longRunningTasksAreNeverDone()
+    {
+        auto service = samples::step(1);
+        service.isLongRunning = true;
+        apply({ samples::accept(samples::firstId, { service }) });
+        uint32_t number = 0;
+        for (const auto how : { RunEnd::Done, RunEnd::Failed, RunEnd::Failed, RunEnd::Failed }) {
+            place({ samples::run(samples::firstId, 0, 0, ++number) });
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.placedRuns().size());
+            end(samples::run(samples::firstId, 0, 0, number), how);
+            CPPUNIT_ASSERT(record().phase == WorkflowPhase::Active);
+        }
+    }
+
+    // Guards against starts that meet the cancellation on the way to the record.
+    void cancelledWorkflowStartsNothing()
+    {
+        apply({ samples::accept(samples::firstId, { samples::step(2) }) });
+        place({ samples::run(samples::firstId, 0, 0) });
+        apply({ CancelWorkflow { samples::firstId } });
+        place({ samples::run(samples::firstId, 0, 1) });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.placedRuns().size());
+        end(samples::run(samples::firstId, 0, 0), RunEnd::Done);
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Cancelled);
+        apply({ ForgetWorkflows { { samples::firstId } } });
+        CPPUNIT_ASSERT(!m_state.find(samples::firstId));
+    }
+
+    // Guards against a scheduled workflow that ends with its first occurrence or keeps the tasks of all of them.
+    void occurrencesFinishOneByOne()
+    {
+        auto command = samples::accept(samples::firstId, { samples::step(1) });
+        command.spec.repeatCount = 2;
+        command.spec.intervalMs = 1000;
+        apply({ command });
+        CPPUNIT_ASSERT(record().occurrences.empty());
+        for (uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+            apply({ BeginOccurrence { samples::firstId, occurrence } });
+            const RunRef run { { { samples::firstId, occurrence, 0 }, 0 }, 1 };
+            place({ run });
+            end(run, RunEnd::Done);
+            CPPUNIT_ASSERT(record().occurrences.empty());
+        }
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Completed);
+    }
+
+    // Guards against a late report that brings back a life which has ended.
+    void olderLifeDoesNotReplaceANewerOne()
+    {
+        apply({ RecordWorkers { { samples::profile("w", 7) } }, RecordWorkers { { samples::profile("w", 3) } } });
+        CPPUNIT_ASSERT_EQUAL(int64_t { 7 }, m_state.workers().at(WorkerId("w")).life.bornMs);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkflowStateTest);
+
+} // namespace hickoryknot::workflow
