--- a/src/scheduler/AssignmentView.h
+++ b/src/scheduler/AssignmentView.h
@@ -43,7 +43,6 @@
     bool isEnding { false };
     /// The worker has reported its end and waits for the acknowledgement.
     bool isReported { false };
-    uint8_t resends { 0 };
     /// Answer that carried the start command.
     uint64_t sentSequence { 0 };
     /// Set once the lease has run out on a task that must not run twice: when, and the first answer given after it.
--- a/src/scheduler/WorkerDesk.cpp
+++ b/src/scheduler/WorkerDesk.cpp
@@ -16,8 +16,6 @@
 constexpr Duration stopRepeat = 500ms;
 // How long to wait for a worker's word on a task that must not run twice before its result counts as lost.
 constexpr Duration wordWait = 30s;
-// Start commands of one assignment before it counts as lost on this worker.
-constexpr uint8_t maxResends = 3;
 
 } // namespace
 
@@ -381,27 +379,16 @@
     for (const uint64_t epoch : expired) {
         AssignmentView& view = m_views.at(epoch);
         if (!view.isEnding)
-            checkExpired(epoch, view, workers.find(view.worker), now);
+            checkExpired(epoch, view, now);
     }
 }
 
-void WorkerDesk::checkExpired(uint64_t epoch, AssignmentView& view, const WorkerView* worker, TimePoint now)
+void WorkerDesk::checkExpired(uint64_t epoch, AssignmentView& view, TimePoint now)
 {
-    const bool isWorkerThere = worker && !worker->isSilent && worker->incarnation == view.incarnation;
     if (view.isRepeatable) {
-        // The start command was probably lost. It is sent again only now, when the first one is no longer valid: with
-        // two valid ones a late one could start the task again after its end, on capacity that others have got since.
-        const bool maySendAgain = isWorkerThere && !worker->isLeaving && !view.isReceived && !view.stop
-            && view.phase == AssignmentView::Phase::Sent && view.resends < maxResends;
-        if (!maySendAgain) {
-            end(epoch, view, TaskResult::Lost, 0, Duration::zero());
-            return;
-        }
-        ++view.resends;
-        view.phase = AssignmentView::Phase::Unsent;
-        m_leases.released(epoch);
-        m_unsent.push_back(epoch);
-        wake(view.worker);
+        // Whether or not the start command was lost, the same assignment is never sent again: a successor may have recorded
+        // its end by now, and the worker would start it beside the successor's.
+        end(epoch, view, TaskResult::Lost, 0, Duration::zero());
         return;
     }
     // A task that must not run twice: its worker may still have a result to report.
--- a/src/scheduler/WorkerDesk.h
+++ b/src/scheduler/WorkerDesk.h
@@ -74,7 +74,7 @@
     void reportEnded(const WorkerHeartbeat&, Session&);
     void judgeUnlisted(const WorkerHeartbeat&, Session&);
     void recallUnsent(const WorkerRegistry&);
-    void checkExpired(uint64_t epoch, AssignmentView&, const WorkerView*, TimePoint now);
+    void checkExpired(uint64_t epoch, AssignmentView&, TimePoint now);
     bool isStartable(const AssignmentView&, const WorkerView&) const;
     Duration leaseFor(const ZoneJob&, const LeaseLimits&, TimePoint now) const;
     bool isRenewable(const AssignmentView&, const ZoneJob&, TimePoint now) const;
--- a/tests/scheduler/ClusterSafetyTest.cpp
+++ b/tests/scheduler/ClusterSafetyTest.cpp
@@ -45,6 +45,8 @@
     {
         // A replaced leader acknowledged the end of a task that its successor had started.
         runSeeds(283, 1, makeEngine);
+        // A replaced leader sent the start of an assignment again whose end its successor had recorded.
+        runSeeds(935, 1, makeEngine);
         // The cell took a zone's jobs while leases granted before a change of the cut-off rule still ran.
         runSeeds(1592, 1, makeEngine);
         runSeeds(177, 1, [] { return std::make_unique<FirstFitPlacer>(); });
--- a/tests/scheduler/ZoneSchedulerTest.cpp
+++ b/tests/scheduler/ZoneSchedulerTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(endsAreAcknowledgedOnceRecorded);
     CPPUNIT_TEST(replacedLeaderLeavesLaterAssignmentsAlone);
     CPPUNIT_TEST(newCutOffRuleWaitsForOlderLeases);
+    CPPUNIT_TEST(lostStartIsPlacedAnew);
     CPPUNIT_TEST(leavingWorkerGetsNothingNew);
     CPPUNIT_TEST(cancelledTasksAreStopped);
     CPPUNIT_TEST(jobThatNoWorkerCanRunIsRefused);
@@ -168,6 +169,27 @@
         CPPUNIT_ASSERT_EQUAL(base + 1, m_scheduler.cutOffVersionInForce(m_now));
     }
 
+    // Guards against a task in two places: a leader that was replaced without knowing it repeated a start command whose
+    // assignment its successor had ended by then. Seed 935 of ClusterSafetyTest.
+    void lostStartIsPlacedAnew()
+    {
+        leadWithWorker();
+        submit();
+        settle();
+        const auto first = beat("w").start;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, first.size());
+        std::vector<StartTask> second;
+        for (int i = 0; i < 50 && second.empty(); ++i) {
+            m_now += 100ms;
+            confirm();
+            connect();
+            second = beat("w").start;
+            settle();
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, second.size());
+        CPPUNIT_ASSERT(second.front().epoch > first.front().epoch);
+    }
+
     // Guards against a leader that was replaced without knowing it and keeps its tasks alive.
     void unconfirmedLeaderGrantsNoLease()
     {
