Admit by work that waits, and ask for permission only for room that is free

Change: only ready work that has not started counts; a gang asks while unclaimed room is left; calls over 100 ms leave one host in four to shorter ones.

--- a/src/control/PermitDispatcher.cpp
+++ b/src/control/PermitDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "control/PermitDispatcher.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "app/SteadyTime.h"
 #include "control/ControlPaths.h"
@@ -14,6 +15,9 @@
 constexpr Duration silentAfter = 1500ms;
 /// On top of the time that the service needs: two hops and the helper's own delay.
 constexpr Duration callMargin = 300ms;
+/// Calls that take longer than this leave one host in four to the shorter ones, which would otherwise wait behind them.
+constexpr Duration longCall = 100ms;
+constexpr size_t hostsPerReserved = 4;
 /// Time without calls after one went wrong.
 constexpr Duration failurePause = 1s;
 
@@ -31,24 +35,28 @@
 
 void PermitDispatcher::helperHeard(const HostId& host, TimePoint now) { m_helpers[host].heardAt = now; }
 
-HostId PermitDispatcher::choose(TimePoint now) const
+HostId PermitDispatcher::choose(Duration cost, TimePoint now) const
 {
-    const std::pair<const HostId, Helper>* best = nullptr;
+    std::vector<const std::pair<const HostId, Helper>*> usable;
     for (const auto& item : m_helpers) {
-        const Helper& helper = item.second;
-        if (now - helper.heardAt > silentAfter || now < helper.usableFrom)
-            continue;
-        if (!best || std::max(helper.freeAt, now) < std::max(best->second.freeAt, now))
-            best = &item;
+        if (now - item.second.heardAt <= silentAfter && now >= item.second.usableFrom)
+            usable.push_back(&item);
     }
-    return best ? best->first : m_self;
+    if (usable.empty())
+        return m_self;
+    if (cost > longCall)
+        usable.resize(usable.size() - usable.size() / hostsPerReserved);
+    const auto* best = *std::min_element(usable.begin(), usable.end(), [&](const auto* a, const auto* b) {
+        return std::max(a->second.freeAt, now) < std::max(b->second.freeAt, now);
+    });
+    return best->first;
 }
 
 void PermitDispatcher::ask(const workflow::PermitRequest& request, TimePoint now, Completion completion)
 {
     if (m_own)
         m_helpers[m_self].heardAt = now;
-    const HostId host = choose(now);
+    const HostId host = choose(request.cost, now);
     Helper& helper = m_helpers[host];
     helper.freeAt = std::max(helper.freeAt, now) + request.cost;
     const Duration limit = helper.freeAt - now + callMargin;
--- a/src/control/PermitDispatcher.h
+++ b/src/control/PermitDispatcher.h
@@ -35,7 +35,7 @@
         TimePoint usableFrom; // After a failed call.
     };
 
-    HostId choose(TimePoint now) const;
+    HostId choose(Duration cost, TimePoint now) const;
     void answered(const HostId&, const Expected<workflow::PermitAnswer>&, TimePoint now);
 
     boost::asio::io_context& m_io;
--- a/src/workflow/AdmissionGate.cpp
+++ b/src/workflow/AdmissionGate.cpp
@@ -4,12 +4,6 @@
 
 namespace hickoryknot::workflow {
 
-double AdmissionGate::Load::workOfPriority(uint32_t priority) const
-{
-    const auto found = byPriority.find(priority);
-    return found == byPriority.end() ? 0 : found->second;
-}
-
 double AdmissionGate::Load::workUpTo(uint32_t priority) const
 {
     double sum = 0;
@@ -42,12 +36,11 @@
     const Duration slack
         = chain * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency - chain;
     const double usable = static_cast<double>(capacity.count()) * m_settings.usableCapacity;
-    // What is ahead of it needs this long on all processors together; the part that fits beside it does not count.
+    // What is ahead of it needs this long on all processors together.
     const Duration wait(static_cast<int64_t>(load.workUpTo(queue.priority) / usable));
-    const Duration free = chain;
-    if (wait <= free + Duration(static_cast<int64_t>(static_cast<double>(slack.count()) * m_settings.usableSlack)))
+    if (wait <= Duration(static_cast<int64_t>(static_cast<double>(slack.count()) * m_settings.usableSlack)))
         return std::nullopt;
-    const Duration excess = wait - free - slack;
+    const Duration excess = wait - slack;
     const Duration varied(static_cast<int64_t>(static_cast<double>(excess.count()) * (1 + spread)));
     return std::clamp(varied, m_settings.shortestReturn, m_settings.longestReturn);
 }
--- a/src/workflow/AdmissionGate.h
+++ b/src/workflow/AdmissionGate.h
@@ -32,10 +32,9 @@
     {
     }
 
-    /// Work of the queues of one priority, in core time.
+    /// Estimated work that is ready and has not started, in thousandths of a core times microseconds. Work that runs is
+    /// left out: it holds processors that a newcomer does not wait for in full.
     struct Load {
-        /// Estimated work that waits or runs, in thousandths of a core times microseconds.
-        double workOfPriority(uint32_t priority) const;
         /// Work of this and more urgent priorities.
         double workUpTo(uint32_t priority) const;
 
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -43,10 +43,13 @@
     Decisions decisions;
     m_slots.clear();
     m_heldGangs = 0;
+    m_unclaimed = 0;
     for (auto& [life, view] : m_board.views()) {
         if (m_board.isUsable(view, now))
             m_slots.push_back({ .view = &view, .planned = {}, .plannedTasks = {} });
     }
+    for (const auto& slot : m_slots)
+        m_unclaimed += slot.view->free().millicores.count();
     std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return isBefore(*a, *b, now); });
     for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
         const ReadyStep& step = *steps[i];
@@ -120,6 +123,7 @@
 void Planner::take(Slot& slot, const ReadyStep& step, size_t task, Decisions& decisions, TimePoint now)
 {
     slot.planned += occupied(*step.spec);
+    m_unclaimed -= occupied(*step.spec).millicores.count();
     ++slot.plannedTasks[step.ref];
     const std::string* permit = m_permits.ticket(step.ref, slot.view->life(), now);
     decisions.placements.push_back({ .run = { .task = { .step = step.ref, .index = step.tasks[task].index },
@@ -172,7 +176,12 @@
 
 void Planner::askForPermits(const ReadyStep& step, Decisions& decisions, TimePoint now)
 {
-    if (!m_permits.mayAsk(step.ref, now))
+    // Room that a step ahead has asked for will be gone by the time an answer comes. Without this, all gangs that wait
+    // ask for the same room, and the service has no time left for those that can be placed.
+    const int64_t claim = static_cast<int64_t>(step.tasks.size()) * occupied(*step.spec).millicores.count();
+    if (m_permits.isAsking(step.ref))
+        m_unclaimed -= claim;
+    if (!m_permits.mayAsk(step.ref, now) || (step.spec->isGang && m_unclaimed < claim))
         return;
     struct Option {
         Slot* slot;
@@ -212,8 +221,10 @@
             lives.push_back(option.slot->view->life());
     }
     const bool isEnough = !step.spec->isGang || expected >= need;
-    if (!lives.empty() && isEnough)
-        decisions.requests.push_back(m_permits.ask(step.ref, step.queue, lives, now));
+    if (lives.empty() || !isEnough)
+        return;
+    m_unclaimed -= claim;
+    decisions.requests.push_back(m_permits.ask(step.ref, step.queue, lives, now));
 }
 
 void Planner::holdRoom(const ReadyStep& step)
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -63,6 +63,8 @@
     PermitBook& m_permits;
     std::vector<Slot> m_slots;
     size_t m_heldGangs { 0 };
+    /// Free processors that no step has asked permissions for, in thousandths of a core.
+    int64_t m_unclaimed { 0 };
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -281,9 +281,6 @@
             const StepSpec& spec = record.spec.steps[step];
             const StepRecord& steps = occurrence.steps[step];
             const StepRef ref { record.id, occurrence.number, step };
-            if (!spec.usesSpareCapacity && !spec.isLongRunning)
-                tracked.work += static_cast<double>(steps.open) * static_cast<double>(spec.perTask.millicores.count())
-                    * static_cast<double>(spec.estimate.count());
             const bool isOpen = steps.open > 0
                 && std::all_of(spec.after.begin(), spec.after.end(),
                     [&](uint32_t earlier) { return occurrence.steps[earlier].isDone(); });
@@ -323,6 +320,9 @@
                 for (auto& task : ready.tasks)
                     task.nextRun = run;
             }
+            if (!spec.usesSpareCapacity && !spec.isLongRunning)
+                tracked.work += static_cast<double>(ready.tasks.size())
+                    * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimate.count());
             tracked.ready.push_back(ref);
             m_ready.insert_or_assign(ref, std::move(ready));
         }
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -78,7 +78,7 @@
     /// Soft state of an open workflow.
     struct Tracked {
         std::vector<StepRef> ready;
-        double work { 0 }; // Estimated work that is not done; thousandths of a core times microseconds.
+        double work { 0 }; // Estimated work that is ready and waits; thousandths of a core times microseconds.
         uint32_t priority { 0 };
         TimePoint acceptedAt;
         bool isPending { false };
