Take a list of runs as proof only when it was asked for after the start was answered

Behind a lossy link a look reached the worker before the start that had been sent earlier. Its list lacked the run, and the leader took that for a loss and placed the task again, 207 ms after the first run had begun. The new tests of the desk also showed that an unsent run was given back at once when its worker had no lease yet.

Change: a run must be listed only by looks that were sent after the answer to its start came in; only runs that were sent end with a lease. The planner holds exactly the room that a gang has asked permission for.

--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -283,12 +283,11 @@
         });
     }
     for (auto& order : orders.starts) {
-        const TimePoint sentAt = steadyNow();
         if (!isLeading()) {
-            m_scheduler.startAnswered(order, { .verdict = OrderVerdict::NotSent }, sentAt, sentAt);
+            m_scheduler.startAnswered(order, { .verdict = OrderVerdict::NotSent }, steadyNow());
             continue;
         }
-        m_workers.start(order, [this, alive = m_isAlive, order, sentAt](const OrderAnswer& answer) {
+        m_workers.start(order, [this, alive = m_isAlive, order](const OrderAnswer& answer) {
             if (!*alive)
                 return;
             if (answer.verdict != OrderVerdict::Done)
@@ -296,7 +295,7 @@
                     "a worker did not take a start", { { "task", describe(order.run.task) },
                         { "run", std::to_string(order.run.run) }, { "worker", order.life.worker.value() },
                         { "answer", orderVerdictName(answer.verdict) } });
-            m_scheduler.startAnswered(order, answer, sentAt, steadyNow());
+            m_scheduler.startAnswered(order, answer, steadyNow());
             schedulePump(gatherTime);
         });
     }
--- a/src/workflow/PermitBook.cpp
+++ b/src/workflow/PermitBook.cpp
@@ -60,6 +60,12 @@
     return found != m_steps.end() && found->second.pendingId;
 }
 
+bool PermitBook::hasAsked(const StepRef& step) const
+{
+    const auto found = m_steps.find(step);
+    return found != m_steps.end() && (!found->second.allowed.empty() || !found->second.denied.empty());
+}
+
 bool PermitBook::mayAsk(const StepRef& step, TimePoint now) const
 {
     const auto found = m_steps.find(step);
--- a/src/workflow/PermitBook.h
+++ b/src/workflow/PermitBook.h
@@ -51,7 +51,9 @@
     bool isDenied(const StepRef&, const WorkerId&) const;
     bool isKnownAllowed(const StepRef&, const WorkerId&) const;
     bool isAsking(const StepRef&) const;
-    /// True while an answer is due or a failed call is not yet to be repeated.
+    /// True once an answer has told which workers may run the step.
+    bool hasAsked(const StepRef&) const;
+    /// False while an answer is due or a failed call is not yet to be repeated.
     bool mayAsk(const StepRef&, TimePoint now) const;
 
     /// Share of asked workers that the queue's policy has allowed, 0..1.
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -1,7 +1,8 @@
 #include "workflow/Planner.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "workflow/RunDesk.h"
 
 namespace hickoryknot::workflow {
 
@@ -16,8 +17,11 @@
 constexpr size_t maxHeldGangs = 2;
 /// Steps looked at in one plan; what is behind them in the order would hardly find room.
 constexpr size_t maxStepsPerPlan = 256;
-
-Resources plus(const WorkerView& view, const Resources& planned) { return view.used + planned; }
+/// Tasks of lower priority make room for a gang that must start within this time to be in time: a stop, a call for
+/// permission and a start take up to two seconds. Earlier, ends of runs may make room by themselves.
+constexpr Duration preemptWithin = 3s;
+/// A run that has come this far is left to end by itself: a stop may take almost as long.
+constexpr uint32_t nearEndPercent = 75;
 
 } // namespace
 
@@ -43,40 +47,23 @@
     Decisions decisions;
     m_slots.clear();
     m_heldGangs = 0;
-    m_unclaimed = 0;
     for (auto& [life, view] : m_board.views()) {
-        if (m_board.isUsable(view, now))
-            m_slots.push_back({ .view = &view, .planned = {}, .plannedTasks = {} });
+        if (!m_board.isUsable(view, now))
+            continue;
+        m_slots.push_back({ .view = &view, .planned = {}, .plannedTasks = {} });
     }
-    for (const auto& slot : m_slots)
-        m_unclaimed += slot.view->free().millicores.count();
     std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return isBefore(*a, *b, now); });
     for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
-        const ReadyStep& step = *steps[i];
-        const bool needsPermits = step.queue.permission.isNeeded;
-        const auto slots = candidates(step, needsPermits, now);
-        if (step.spec->isGang) {
-            if (placeGang(step, slots, decisions, now))
-                continue;
-            if (needsPermits)
-                askForPermits(step, decisions, now);
-            holdRoom(step);
-            continue;
-        }
-        const size_t before = decisions.placements.size();
-        placeTasks(step, slots, decisions, now);
-        const bool isPlaced = decisions.placements.size() - before == step.tasks.size();
-        if (!isPlaced && needsPermits)
-            askForPermits(step, decisions, now);
+        if (steps[i]->spec->isGang)
+            planGang(*steps[i], decisions, now);
+        else
+            planTasks(*steps[i], decisions, now);
     }
     return decisions;
 }
 
-uint32_t Planner::roomFor(const Slot& slot, const ReadyStep& step, uint32_t most) const
+uint32_t Planner::roomIn(const Slot& slot, const ReadyStep& step, const Resources& free, uint32_t most) const
 {
-    // The view with what this plan has already given away.
-    const Resources size = occupied(*step.spec);
-    const Resources free = slot.view->profile.capacity - plus(*slot.view, slot.planned);
     uint32_t limit = most;
     if (step.spec->maxPerWorker) {
         const auto present = slot.view->tasksOfStep.find(step.ref);
@@ -85,6 +72,7 @@
             + (planned == slot.plannedTasks.end() ? 0 : planned->second);
         limit = std::min(limit, step.spec->maxPerWorker > count ? step.spec->maxPerWorker - count : 0);
     }
+    const Resources size = occupied(*step.spec);
     const auto fit = [&](int64_t have, int64_t need) {
         if (need > 0)
             limit = static_cast<uint32_t>(std::clamp<int64_t>(have / need, 0, limit));
@@ -95,26 +83,29 @@
     return limit;
 }
 
-std::vector<Planner::Slot*> Planner::candidates(const ReadyStep& step, bool isPermitNeeded, TimePoint now)
+bool Planner::isPossible(const Slot& slot, const ReadyStep& step) const
+{
+    return WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
+        && !m_permits.isDenied(step.ref, slot.view->life().worker);
+}
+
+std::vector<Planner::Slot*> Planner::candidates(const ReadyStep& step, TimePoint now)
 {
     std::vector<Slot*> found;
     for (auto& slot : m_slots) {
-        const bool isAllowed = !slot.isHeld && WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
-            && (!isPermitNeeded || m_permits.ticket(step.ref, slot.view->life(), now));
+        const bool isAllowed = !slot.isHeld && isPossible(slot, step)
+            && (!step.queue.permission.isNeeded || m_permits.ticket(step.ref, slot.view->life(), now));
         if (isAllowed && roomFor(slot, step, 1))
             found.push_back(&slot);
     }
     // The rack with the data first, then the fullest workers.
-    const auto freeCores = [](const Slot* slot) {
-        return (slot->view->free() - slot->planned).millicores.count();
-    };
     std::sort(found.begin(), found.end(), [&](const Slot* a, const Slot* b) {
         const bool isNearA = !step.spec->dataRack.isEmpty() && a->view->profile.rack == step.spec->dataRack;
         const bool isNearB = !step.spec->dataRack.isEmpty() && b->view->profile.rack == step.spec->dataRack;
         if (isNearA != isNearB)
             return isNearA;
-        if (freeCores(a) != freeCores(b))
-            return freeCores(a) < freeCores(b);
+        if (a->free().millicores != b->free().millicores)
+            return a->free().millicores < b->free().millicores;
         return a->view->life() < b->view->life();
     });
     return found;
@@ -123,18 +114,26 @@
 void Planner::take(Slot& slot, const ReadyStep& step, size_t task, Decisions& decisions, TimePoint now)
 {
     slot.planned += occupied(*step.spec);
-    m_unclaimed -= occupied(*step.spec).millicores.count();
     ++slot.plannedTasks[step.ref];
     const std::string* permit = m_permits.ticket(step.ref, slot.view->life(), now);
     decisions.placements.push_back({ .run = { .task = { .step = step.ref, .index = step.tasks[task].index },
                                          .run = step.tasks[task].nextRun },
         .life = slot.view->life(),
         .spec = step.spec,
+        .priority = step.queue.priority,
         .permit = permit ? *permit : std::string() });
 }
 
-void Planner::placeTasks(
-    const ReadyStep& step, const std::vector<Slot*>& slots, Decisions& decisions, TimePoint now)
+void Planner::planTasks(const ReadyStep& step, Decisions& decisions, TimePoint now)
+{
+    const size_t before = decisions.placements.size();
+    placeTasks(step, candidates(step, now), decisions, now);
+    const bool isPlaced = decisions.placements.size() - before == step.tasks.size();
+    if (!isPlaced && step.queue.permission.isNeeded)
+        askForTasks(step, decisions, now);
+}
+
+void Planner::placeTasks(const ReadyStep& step, const std::vector<Slot*>& slots, Decisions& decisions, TimePoint now)
 {
     size_t task = 0;
     for (auto* slot : slots) {
@@ -145,6 +144,111 @@
     }
 }
 
+void Planner::askForTasks(const ReadyStep& step, Decisions& decisions, TimePoint now)
+{
+    if (!m_permits.mayAsk(step.ref, now))
+        return;
+    struct Option {
+        Slot* slot;
+        uint32_t room;
+        bool isAllowed;
+    };
+    std::vector<Option> options;
+    const auto need = static_cast<uint32_t>(step.tasks.size());
+    for (auto& slot : m_slots) {
+        const auto& life = slot.view->life();
+        const bool isUseful = !slot.isHeld && isPossible(slot, step) && !m_permits.ticket(step.ref, life, now);
+        const uint32_t room = isUseful ? roomFor(slot, step, need) : 0;
+        if (room)
+            options.push_back({ &slot, room, m_permits.isKnownAllowed(step.ref, life.worker) });
+    }
+    // Workers known to be allowed first, then those with the most room.
+    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
+        if (a.isAllowed != b.isAllowed)
+            return a.isAllowed;
+        if (a.room != b.room)
+            return a.room > b.room;
+        return a.slot->view->life() < b.slot->view->life();
+    });
+    const double share = m_permits.grantedShare(step.queue.name);
+    double expected = 0;
+    std::vector<Slot*> named;
+    for (const auto& option : options) {
+        if (expected >= need * requestSurplus)
+            break;
+        expected += option.room * (option.isAllowed ? 1 : share);
+        named.push_back(option.slot);
+    }
+    ask(step, named, decisions, now);
+}
+
+void Planner::ask(const ReadyStep& step, const std::vector<Slot*>& named, Decisions& decisions, TimePoint now)
+{
+    std::vector<WorkerLife> lives;
+    for (const auto* slot : named) {
+        if (lives.size() < maxWorkersPerRequest)
+            lives.push_back(slot->view->life());
+    }
+    if (!lives.empty())
+        decisions.requests.push_back(m_permits.ask(step.ref, step.queue, lives, now));
+}
+
+void Planner::planGang(const ReadyStep& step, Decisions& decisions, TimePoint now)
+{
+    if (placeGang(step, candidates(step, now), decisions, now))
+        return;
+    const auto need = static_cast<uint32_t>(step.tasks.size());
+    const bool needsPermits = step.queue.permission.isNeeded;
+    std::vector<Slot*> unknown;
+    std::vector<Slot*> roomy;
+    for (auto& slot : m_slots) {
+        if (!isPossible(slot, step))
+            continue;
+        if (needsPermits && !m_permits.isKnownAllowed(step.ref, slot.view->life().worker))
+            unknown.push_back(&slot);
+        else if (!slot.isHeld && roomFor(slot, step, 1))
+            roomy.push_back(&slot);
+    }
+    // Which workers are allowed never changes, so one call about all of them serves every later decision.
+    const bool mayAsk = needsPermits && m_permits.mayAsk(step.ref, now);
+    if (needsPermits && !m_permits.hasAsked(step.ref)) {
+        if (mayAsk)
+            ask(step, unknown, decisions, now);
+        return;
+    }
+    // Workers with permissions first, then those with the most room.
+    const auto hasTicket = [&](const Slot* slot) {
+        return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr;
+    };
+    std::sort(roomy.begin(), roomy.end(), [&](const Slot* a, const Slot* b) {
+        if (hasTicket(a) != hasTicket(b))
+            return hasTicket(a);
+        const uint32_t roomA = roomFor(*a, step, need);
+        const uint32_t roomB = roomFor(*b, step, need);
+        return roomA != roomB ? roomA > roomB : a->view->life() < b->view->life();
+    });
+    std::vector<Slot*> used;
+    uint32_t room = 0;
+    for (size_t i = 0; i < roomy.size() && room < need; ++i) {
+        room += roomFor(*roomy[i], step, need - room);
+        used.push_back(roomy[i]);
+    }
+    if (room >= need) {
+        // There is room, but some of its permissions have expired. Others must not take it before the answer comes.
+        for (auto* slot : used)
+            slot->isHeld = true;
+        if (mayAsk)
+            ask(step, used, decisions, now);
+        return;
+    }
+    // Workers that came after the first call may be allowed too.
+    if (mayAsk && !unknown.empty())
+        ask(step, unknown, decisions, now);
+    const bool isUrgent = now > step.latestStart() - preemptWithin && now < step.latestStart();
+    if (!isUrgent || !clearRoom(step, decisions, now))
+        holdRoom(step);
+}
+
 bool Planner::placeGang(const ReadyStep& step, const std::vector<Slot*>& slots, Decisions& decisions, TimePoint now)
 {
     const auto count = static_cast<uint32_t>(step.tasks.size());
@@ -174,57 +278,100 @@
     return fill(slots);
 }
 
-void Planner::askForPermits(const ReadyStep& step, Decisions& decisions, TimePoint now)
+bool Planner::isPreemptible(const RunView& run, const ReadyStep& step)
 {
-    // Room that a step ahead has asked for will be gone by the time an answer comes. Without this, all gangs that wait
-    // ask for the same room, and the service has no time left for those that can be placed.
-    const int64_t claim = static_cast<int64_t>(step.tasks.size()) * occupied(*step.spec).millicores.count();
-    if (m_permits.isAsking(step.ref))
-        m_unclaimed -= claim;
-    if (!m_permits.mayAsk(step.ref, now) || (step.spec->isGang && m_unclaimed < claim))
-        return;
-    struct Option {
-        Slot* slot;
-        uint32_t room;
-        bool isAllowed;
-        bool hasTicket;
-    };
-    std::vector<Option> options;
+    const bool isEnding = run.phase == RunView::Phase::Stopping || run.phase == RunView::Phase::Stopped
+        || run.phase == RunView::Phase::Ended;
+    const bool mayGoOnLater = run.spec.isCheckpointing && !run.spec.isGang && !run.spec.isLongRunning;
+    return isEnding
+        || (run.phase == RunView::Phase::Confirmed && run.priority > step.queue.priority && mayGoOnLater
+            && run.percent < nearEndPercent);
+}
+
+Planner::Clearing Planner::clearing(Slot& slot, const ReadyStep& step) const
+{
+    Clearing result { .slot = &slot, .victims = {} };
+    std::vector<const RunView*> runs;
+    for (const auto* run : m_desk.runsOn(slot.view->life())) {
+        if (isPreemptible(*run, step))
+            runs.push_back(run);
+    }
+    // Runs that are ending anyway cost nothing; then the large ones, so that few have to go.
+    const auto isEnding = [](const RunView* run) { return run->phase != RunView::Phase::Confirmed; };
+    std::sort(runs.begin(), runs.end(), [&](const RunView* a, const RunView* b) {
+        if (isEnding(a) != isEnding(b))
+            return isEnding(a);
+        if (a->spec.perTask.millicores != b->spec.perTask.millicores)
+            return a->spec.perTask.millicores > b->spec.perTask.millicores;
+        return a->run < b->run;
+    });
     const auto need = static_cast<uint32_t>(step.tasks.size());
-    double expected = 0;
+    Resources free = slot.free();
+    result.room = roomIn(slot, step, free, need);
+    double lost = 0;
+    for (const auto* run : runs) {
+        free += occupied(run->spec);
+        lost += isEnding(run) ? 0 : static_cast<double>(occupied(run->spec).millicores.count());
+        result.victims.push_back(run);
+        const uint32_t room = roomIn(slot, step, free, need);
+        if (room == result.room)
+            continue;
+        result.room = room;
+        result.cost = lost / room;
+    }
+    return result;
+}
+
+bool Planner::clearRoom(const ReadyStep& step, Decisions& decisions, TimePoint now)
+{
+    const auto need = static_cast<uint32_t>(step.tasks.size());
+    const bool needsPermits = step.queue.permission.isNeeded;
+    std::vector<Clearing> options;
+    uint32_t room = 0;
     for (auto& slot : m_slots) {
-        const auto& life = slot.view->life();
-        const bool isPossible = !slot.isHeld && WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
-            && !m_permits.isDenied(step.ref, life.worker);
-        const uint32_t room = isPossible ? roomFor(slot, step, need) : 0;
-        if (!room)
+        const bool isAllowed = !slot.isHeld && isPossible(slot, step)
+            && (!needsPermits || m_permits.isKnownAllowed(step.ref, slot.view->life().worker));
+        if (!isAllowed)
             continue;
-        options.push_back({ &slot, room, m_permits.isKnownAllowed(step.ref, life.worker),
-            m_permits.ticket(step.ref, life, now) != nullptr });
+        auto option = clearing(slot, step);
+        room += option.room;
+        if (option.room)
+            options.push_back(std::move(option));
     }
-    // Workers known to be allowed first, then those with the most room.
-    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
-        if (a.isAllowed != b.isAllowed)
-            return a.isAllowed;
-        if (a.room != b.room)
-            return a.room > b.room;
+    if (room < need)
+        return false;
+    std::sort(options.begin(), options.end(), [](const Clearing& a, const Clearing& b) {
+        if (a.cost != b.cost)
+            return a.cost < b.cost;
         return a.slot->view->life() < b.slot->view->life();
     });
-    const double share = m_permits.grantedShare(step.queue.name);
-    std::vector<WorkerLife> lives;
+    std::vector<Slot*> used;
+    uint32_t found = 0;
     for (const auto& option : options) {
-        if (expected >= need * requestSurplus || lives.size() >= maxWorkersPerRequest)
+        if (found >= need)
             break;
-        expected += option.room * (option.isAllowed ? 1 : share);
-        // A gang needs all its tickets at the same time, so those that it holds are renewed with the others.
-        if (!option.hasTicket || step.spec->isGang)
-            lives.push_back(option.slot->view->life());
+        const uint32_t wanted = std::min(option.room, need - found);
+        found += wanted;
+        used.push_back(option.slot);
+        option.slot->isHeld = true;
+        Resources free = option.slot->free();
+        for (const auto* run : option.victims) {
+            if (roomIn(*option.slot, step, free, wanted) >= wanted)
+                break;
+            free += occupied(run->spec);
+            if (run->phase == RunView::Phase::Confirmed)
+                decisions.preemptions.push_back(run->run);
+        }
     }
-    const bool isEnough = !step.spec->isGang || expected >= need;
-    if (lives.empty() || !isEnough)
-        return;
-    m_unclaimed -= claim;
-    decisions.requests.push_back(m_permits.ask(step.ref, step.queue, lives, now));
+    // The permissions are asked for while the stops are under way.
+    if (needsPermits && m_permits.mayAsk(step.ref, now)) {
+        const bool areAllValid = std::all_of(used.begin(), used.end(), [&](const Slot* slot) {
+            return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr;
+        });
+        if (!areAllValid)
+            ask(step, used, decisions, now);
+    }
+    return true;
 }
 
 void Planner::holdRoom(const ReadyStep& step)
@@ -235,9 +382,7 @@
     // The workers on which most of the gang fits soonest.
     std::vector<Slot*> order;
     for (auto& slot : m_slots) {
-        const bool isPossible = !slot.isHeld && WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
-            && !m_permits.isDenied(step.ref, slot.view->life().worker);
-        if (isPossible)
+        if (!slot.isHeld && isPossible(slot, step))
             order.push_back(&slot);
     }
     std::sort(order.begin(), order.end(), [&](const Slot* a, const Slot* b) {
@@ -245,17 +390,16 @@
         const bool isAllowedB = m_permits.isKnownAllowed(step.ref, b->view->life().worker);
         if (isAllowedA != isAllowedB)
             return isAllowedA;
-        const auto freeA = (a->view->free() - a->planned).millicores;
-        const auto freeB = (b->view->free() - b->planned).millicores;
-        return freeA != freeB ? freeA > freeB : a->view->life() < b->view->life();
+        if (a->free().millicores != b->free().millicores)
+            return a->free().millicores > b->free().millicores;
+        return a->view->life() < b->view->life();
     });
-    const Resources size = occupied(*step.spec);
+    const auto size = std::max<int64_t>(1, occupied(*step.spec).millicores.count());
     int64_t room = 0;
     for (auto* slot : order) {
         if (room >= static_cast<int64_t>(step.tasks.size()))
             break;
-        const auto cores = std::max<int64_t>(1, size.millicores.count());
-        room += std::max<int64_t>(0, slot->view->profile.capacity.millicores.count() / cores);
+        room += std::max<int64_t>(0, slot->view->profile.capacity.millicores.count() / size);
         slot->isHeld = true;
     }
 }
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -6,21 +6,24 @@
 
 #include "workflow/PermitBook.h"
 #include "workflow/ReadyStep.h"
-#include "workflow/SchedulerSettings.h"
 #include "workflow/WorkerBoard.h"
 
 namespace hickoryknot::workflow {
 
+class RunDesk;
+struct RunView;
+
 /// Decides which ready tasks start where. Serves the heavy days, on which more work is ready than fits: urgent queues
 /// first, within a queue's priority those whose time runs out first, and work that can no longer end in time last. Small
-/// tasks are packed onto the fullest workers, so that large tasks and gangs find room; a gang that does not fit keeps
-/// lower priorities off the workers that it waits for.
+/// tasks are packed onto the fullest workers, so that large tasks and gangs find room. A gang that does not fit takes
+/// the place of tasks of lower priority that can go on from a checkpoint, and keeps lower priorities off the workers that
+/// it waits for.
 class Planner {
 public:
-    Planner(const SchedulerSettings& settings, WorkerBoard& board, PermitBook& permits)
-        : m_settings(settings)
-        , m_board(board)
+    Planner(WorkerBoard& board, PermitBook& permits, const RunDesk& desk)
+        : m_board(board)
         , m_permits(permits)
+        , m_desk(desk)
     {
     }
 
@@ -28,11 +31,13 @@
         RunRef run;
         WorkerLife life;
         const StepSpec* spec;
+        uint32_t priority;
         std::string permit;
     };
     struct Decisions {
         std::vector<Placement> placements;
         std::vector<PermitRequest> requests;
+        std::vector<RunRef> preemptions;
     };
 
     /// Places what fits. The steps are put into the order in which they were looked at. Nothing is changed but the
@@ -45,26 +50,44 @@
         WorkerView* view;
         Resources planned;
         std::map<StepRef, uint32_t> plannedTasks;
-        /// Kept free for a gang of this rank in the order of steps; later steps leave it alone.
+        /// Kept free for a gang that comes earlier in the order; later steps leave it alone.
         bool isHeld { false };
+
+        Resources free() const { return view->free() - planned; }
+    };
+    /// A worker that a gang may use once some runs have ended.
+    struct Clearing {
+        Slot* slot;
+        uint32_t room { 0 }; // Tasks that fit then.
+        std::vector<const RunView*> victims; // Least work lost first.
+        double cost { 0 }; // Work lost for each task that fits, in core time.
     };
 
     static bool isBefore(const ReadyStep&, const ReadyStep&, TimePoint now);
-    uint32_t roomFor(const Slot&, const ReadyStep&, uint32_t most) const;
-    std::vector<Slot*> candidates(const ReadyStep&, bool isPermitNeeded, TimePoint now);
+    static bool isPreemptible(const RunView&, const ReadyStep&);
+    uint32_t roomIn(const Slot&, const ReadyStep&, const Resources& free, uint32_t most) const;
+    uint32_t roomFor(const Slot& slot, const ReadyStep& step, uint32_t most) const
+    {
+        return roomIn(slot, step, slot.free(), most);
+    }
+    bool isPossible(const Slot&, const ReadyStep&) const;
+    std::vector<Slot*> candidates(const ReadyStep&, TimePoint now);
     void placeTasks(const ReadyStep&, const std::vector<Slot*>&, Decisions&, TimePoint now);
     bool placeGang(const ReadyStep&, const std::vector<Slot*>&, Decisions&, TimePoint now);
     void take(Slot&, const ReadyStep&, size_t task, Decisions&, TimePoint now);
-    void askForPermits(const ReadyStep&, Decisions&, TimePoint now);
+    void planTasks(const ReadyStep&, Decisions&, TimePoint now);
+    void planGang(const ReadyStep&, Decisions&, TimePoint now);
+    void askForTasks(const ReadyStep&, Decisions&, TimePoint now);
+    void ask(const ReadyStep&, const std::vector<Slot*>&, Decisions&, TimePoint now);
+    bool clearRoom(const ReadyStep&, Decisions&, TimePoint now);
+    Clearing clearing(Slot&, const ReadyStep&) const;
     void holdRoom(const ReadyStep&);
 
-    const SchedulerSettings& m_settings;
     WorkerBoard& m_board;
     PermitBook& m_permits;
+    const RunDesk& m_desk;
     std::vector<Slot> m_slots;
     size_t m_heldGangs { 0 };
-    /// Free processors that no step has asked permissions for, in thousandths of a core.
-    int64_t m_unclaimed { 0 };
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/RunDesk.cpp
+++ b/src/workflow/RunDesk.cpp
@@ -10,6 +10,8 @@
 
 /// A worker that announced its end is gone for certain this long after; the announcement comes moments before the end.
 constexpr Duration leavingTime = 1s;
+/// Failed calls in a row after which nothing new is sent to a worker.
+constexpr uint32_t unreachableAfter = 2;
 /// Longest pause after failed calls to a worker before it is tried again.
 constexpr Duration longestPause = 1s;
 
@@ -30,6 +32,8 @@
         run.phase = RunView::Phase::Sent;
         run.isInherited = true;
         run.hasUnanswered = true;
+        if (const Queue* queue = m_state.table().find(m_state.find(placed.run.task.step.workflow)->queue))
+            run.priority = queue->priority;
         run.startedAt = run.progressAt = now;
     }
 }
@@ -89,9 +93,23 @@
     m_runs.erase(found);
 }
 
-void RunDesk::proposed(const RunRef& ref, const WorkerLife& life, const StepSpec& spec, std::string permit)
+void RunDesk::proposed(
+    const RunRef& ref, const WorkerLife& life, const StepSpec& spec, uint32_t priority, std::string permit)
 {
-    add(ref, life, spec).permit = std::move(permit);
+    RunView& run = add(ref, life, spec);
+    run.priority = priority;
+    run.permit = std::move(permit);
+}
+
+std::vector<const RunView*> RunDesk::runsOn(const WorkerLife& life) const
+{
+    std::vector<const RunView*> runs;
+    const auto ofLife = m_runsOfLife.find(life);
+    if (ofLife == m_runsOfLife.end())
+        return runs;
+    for (const auto& ref : ofLife->second)
+        runs.push_back(&m_runs.at(ref));
+    return runs;
 }
 
 void RunDesk::settled(const RunRef& ref, bool isRecorded, TimePoint now)
@@ -197,7 +215,7 @@
     view.usableFrom = now + pause;
 }
 
-void RunDesk::startAnswered(const StartOrder& order, const OrderAnswer& answer, TimePoint sentAt, TimePoint now)
+void RunDesk::startAnswered(const StartOrder& order, const OrderAnswer& answer, TimePoint now)
 {
     const auto found = m_runs.find(order.run);
     WorkerView* view = m_board.find(order.life);
@@ -224,11 +242,11 @@
     case OrderVerdict::Done:
         // Several unanswered copies of one start are one run.
         run.hasUnanswered = false;
-        confirm(run, sentAt);
+        confirm(run, now);
         break;
     case OrderVerdict::Outdated:
         // The run was there and has ended; the next look tells how.
-        confirm(run, sentAt);
+        confirm(run, now);
         break;
     case OrderVerdict::NoAnswer:
         run.hasUnanswered = true;
@@ -318,7 +336,7 @@
             continue;
         }
         RunView& run = found->second;
-        confirm(run, sentAt);
+        confirm(run, now);
         if (run.percent != item.percent)
             run.progressAt = now;
         run.percent = item.percent;
@@ -411,8 +429,8 @@
     const bool hasRuns = m_runsOfLife.contains(life);
     const bool isOver = (view.leftAt && now - *view.leftAt > leavingTime && !view.isLookInFlight)
         || m_board.isSucceeded(life);
-    if (hasRuns && (isOver || now >= view.leaseEnd))
-        loseAll(life, now);
+    if (hasRuns)
+        loseEnded(life, view, isOver, now);
     if (isOver || view.isLookInFlight || now < view.nextLookAt)
         return;
     const bool hasStrays = std::any_of(
@@ -435,16 +453,25 @@
         .wait = mayWait ? m_settings.lookWait : Duration(0) });
 }
 
-void RunDesk::loseAll(const WorkerLife& life, TimePoint now)
+// Ends the runs that the end of their worker's life, or of its lease, has ended.
+void RunDesk::loseEnded(const WorkerLife& life, const WorkerView& view, bool isLifeOver, TimePoint now)
 {
+    const bool isLeaseOver = now >= view.leaseEnd;
+    const bool isUnreachable = view.failedCalls >= unreachableAfter;
+    if (!isLifeOver && !isLeaseOver && !isUnreachable)
+        return;
     const auto& refs = m_runsOfLife.at(life);
     const std::vector<RunRef> runs(refs.begin(), refs.end());
     for (const auto& ref : runs) {
         const auto found = m_runs.find(ref);
         if (found == m_runs.end() || !found->second.maySend())
             continue;
-        finish(found->second, found->second.phase == RunView::Phase::Unsent ? RunEnd::NeverStarted : RunEnd::Lost, {},
-            now);
+        RunView& run = found->second;
+        // What was never sent may go elsewhere at once.
+        if (run.phase == RunView::Phase::Unsent && (isLifeOver || isUnreachable))
+            finish(run, RunEnd::NeverStarted, {}, now);
+        else if (run.phase != RunView::Phase::Unsent && (isLifeOver || isLeaseOver))
+            finish(run, RunEnd::Lost, {}, now);
     }
 }
 
--- a/src/workflow/RunDesk.h
+++ b/src/workflow/RunDesk.h
@@ -33,7 +33,7 @@
     void clear();
 
     /// A placement that is about to be recorded: its room is taken from now on.
-    void proposed(const RunRef&, const WorkerLife&, const StepSpec&, std::string permit);
+    void proposed(const RunRef&, const WorkerLife&, const StepSpec&, uint32_t priority, std::string permit);
     /// The placement was recorded, or turned out not to apply any more.
     void settled(const RunRef&, bool isRecorded, TimePoint now);
 
@@ -43,8 +43,8 @@
     /// Stops a run that is no longer wanted.
     void requestStop(const RunRef&, TimePoint now);
 
-    /// Takes answers of workers. `sentAt` is the moment before the order was sent.
-    void startAnswered(const StartOrder&, const OrderAnswer&, TimePoint sentAt, TimePoint now);
+    /// Takes answers of workers. `sentAt` is the moment before the look was sent.
+    void startAnswered(const StartOrder&, const OrderAnswer&, TimePoint now);
     void stopAnswered(const StopOrder&, const OrderAnswer&, TimePoint now);
     void lookAnswered(const LookOrder&, const Expected<LookAnswer>&, TimePoint sentAt, TimePoint now);
 
@@ -71,6 +71,8 @@
 
     const RunView* find(const RunRef&) const;
     const std::map<RunRef, RunView>& runs() const { return m_runs; }
+    /// Runs that may occupy this life.
+    std::vector<const RunView*> runsOn(const WorkerLife&) const;
     size_t size() const { return m_runs.size(); }
 
 private:
@@ -101,7 +103,7 @@
     void advanceRun(RunView&, TimePoint now, Orders&);
     void advanceLife(const WorkerLife&, WorkerView&, TimePoint now, Orders&);
     void advanceStrays(TimePoint now, Orders&);
-    void loseAll(const WorkerLife&, TimePoint now);
+    void loseEnded(const WorkerLife&, const WorkerView&, bool isLifeOver, TimePoint now);
     void takeListed(WorkerView&, const LookAnswer&, TimePoint sentAt, TimePoint now);
     void judgeUnlisted(WorkerView&, const std::set<RunRef>& listed, TimePoint sentAt, TimePoint now);
     void noteAnswer(WorkerView&, std::optional<WorkerMs>, TimePoint now);
--- a/src/workflow/RunView.h
+++ b/src/workflow/RunView.h
@@ -26,13 +26,15 @@
     WorkerLife life;
     Phase phase { Phase::Proposed };
     bool isGang { false };
+    uint32_t priority { 0 }; // Of its queue; higher numbers yield to lower ones.
     bool isInherited { false }; // Placed by an earlier leader and not yet seen by this one.
     bool hasUnanswered { false }; // A start went without an answer and may yet be carried out.
     bool isCallInFlight { false };
     bool isStopWanted { false };
     std::string permit;
     TimePoint nextTry;
-    /// Looks that were sent later than this must list the run, if it is there.
+    /// When the answer to a start or stop, or a list with the run, came in. Looks that were sent later must list the run,
+    /// if it is there; earlier ones may have overtaken the order on their way to the worker.
     std::optional<TimePoint> presentSince;
     /// Latest progress that the worker has listed.
     std::string checkpoint;
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -27,7 +27,7 @@
     , m_board(m_settings)
     , m_desk(m_settings, state, m_board)
     , m_permits(m_settings)
-    , m_planner(m_settings, m_board, m_permits)
+    , m_planner(m_board, m_permits, m_desk)
     , m_gate({})
 {
     m_state.setListener(this);
@@ -103,11 +103,10 @@
         m_desk.lifeLeft(view->life(), now);
 }
 
-void WorkflowScheduler::startAnswered(
-    const StartOrder& order, const OrderAnswer& answer, TimePoint sentAt, TimePoint now)
+void WorkflowScheduler::startAnswered(const StartOrder& order, const OrderAnswer& answer, TimePoint now)
 {
     if (m_isLeader && order.fence == m_fence)
-        m_desk.startAnswered(order, answer, sentAt, now);
+        m_desk.startAnswered(order, answer, now);
 }
 
 void WorkflowScheduler::stopAnswered(const StopOrder& order, const OrderAnswer& answer, TimePoint now)
@@ -404,6 +403,8 @@
         steps.push_back(&step);
     auto decisions = m_planner.plan(steps, now);
     output.permits = std::move(decisions.requests);
+    for (const auto& run : decisions.preemptions)
+        m_desk.requestStop(run, now);
     if (decisions.placements.empty())
         return;
     PlaceRuns command;
@@ -413,7 +414,8 @@
         if (isNew)
             command.lives.push_back(placement.life);
         command.entries.push_back({ .run = placement.run, .life = life->second });
-        m_desk.proposed(placement.run, placement.life, *placement.spec, std::move(placement.permit));
+        m_desk.proposed(
+            placement.run, placement.life, *placement.spec, placement.priority, std::move(placement.permit));
         batch.placed.push_back(placement.run);
         // Until the record is there, the task must not be placed again.
         m_changed.insert(placement.run.task.step.workflow);
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -32,10 +32,10 @@
     bool isLeader() const { return m_isLeader; }
     uint64_t fence() const { return m_fence; }
 
-    // What workers and the permission service say. `sentAt` is the moment before the call was sent.
+    // What workers and the permission service say. `sentAt` is the moment before the look was sent.
     void workerReported(const WorkerReport&, TimePoint now);
     void workerLeft(const WorkerId&, TimePoint now);
-    void startAnswered(const StartOrder&, const OrderAnswer&, TimePoint sentAt, TimePoint now);
+    void startAnswered(const StartOrder&, const OrderAnswer&, TimePoint now);
     void stopAnswered(const StopOrder&, const OrderAnswer&, TimePoint now);
     void lookAnswered(const LookOrder&, const Expected<LookAnswer>&, TimePoint sentAt, TimePoint now);
     void permitAnswered(const PermitRequest&, const Expected<PermitAnswer>&, TimePoint now);
--- /dev/null
+++ b/tests/workflow/RunDeskTest.cpp
@@ -0,0 +1,351 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "WorkflowSamples.h"
+#include "workflow/RunDesk.h"
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot::workflow {
+
+class RunDeskTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RunDeskTest);
+    CPPUNIT_TEST(sendsOnlyWhatIsRecorded);
+    CPPUNIT_TEST(lookThatOvertookTheStartSaysNothing);
+    CPPUNIT_TEST(laterLookWithoutTheRunLosesIt);
+    CPPUNIT_TEST(unansweredStartKeepsItsRoom);
+    CPPUNIT_TEST(refusalAfterSilenceNeedsAStop);
+    CPPUNIT_TEST(refusalOfTheOnlyStartFreesTheRoom);
+    CPPUNIT_TEST(endsAreConfirmedOnceRecorded);
+    CPPUNIT_TEST(silentWorkerLosesRunsOnlyAfterItsLease);
+    CPPUNIT_TEST(newLifeEndsTheOldOne);
+    CPPUNIT_TEST(lateReportOfAnOldLifeIsIgnored);
+    CPPUNIT_TEST(inheritedRunsAreJudgedByTheFirstLook);
+    CPPUNIT_TEST(inheritedRunIsKeptWhileItsWorkerIsSilent);
+    CPPUNIT_TEST(unknownRunIsStopped);
+    CPPUNIT_TEST(incompleteGangIsStoppedInTime);
+    CPPUNIT_TEST(refusedMemberStopsTheOthers);
+    CPPUNIT_TEST(announcedEndWithAnAnswerIsNoEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+    SchedulerSettings m_settings;
+    WorkflowState m_state;
+    WorkerBoard m_board { m_settings };
+    RunDesk m_desk { m_settings, m_state, m_board };
+    TimePoint m_now { 100s };
+    WorkerMs m_clock { 5000 };
+    const RunRef m_run = samples::run(samples::firstId, 0, 0);
+
+    void apply(std::vector<WorkflowCommand> commands) { m_state.apply(1, encodeCommands(commands)); }
+
+    void report(const char* worker, int64_t born = 1)
+    {
+        WorkerReport report;
+        report.profile = samples::profile(worker, born);
+        report.sequence = ++m_sequence;
+        report.clock = m_clock;
+        m_board.reported(report, m_now);
+    }
+
+    // A worker, and a workflow with one step of `count` tasks.
+    void begin(uint32_t count = 1, bool isGang = false)
+    {
+        m_desk.begin(7, m_now);
+        report("w");
+        auto step = samples::step(count);
+        step.isGang = isGang;
+        apply({ samples::accept(samples::firstId, { step }) });
+    }
+
+    void place(const RunRef& run, const char* worker = "w")
+    {
+        const auto& spec = m_state.find(samples::firstId)->spec.steps[0];
+        m_desk.proposed(run, samples::life(worker), spec, 0, {});
+        PlaceRuns command;
+        command.lives = { samples::life(worker) };
+        command.entries = { { .run = run, .life = 0 } };
+        apply({ command });
+        m_desk.settled(run, true, m_now);
+    }
+
+    RunDesk::Orders advance()
+    {
+        RunDesk::Orders orders;
+        m_desk.advance(m_now, orders);
+        return orders;
+    }
+
+    // Takes the only start that is due.
+    StartOrder start()
+    {
+        auto orders = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.starts.size());
+        m_look = orders.looks.empty() ? m_look : orders.looks.front();
+        return orders.starts.front();
+    }
+
+    void answer(const StartOrder& order, OrderVerdict verdict)
+    {
+        m_desk.startAnswered(order, { .verdict = verdict, .clock = m_clock, .bornMs = order.life.bornMs }, m_now);
+    }
+
+    void look(const LookOrder& order, TimePoint sentAt, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
+    {
+        m_desk.lookAnswered(order,
+            LookAnswer { .clock = m_clock,
+                .bornMs = order.life.bornMs,
+                .running = std::move(running),
+                .ended = std::move(ended) },
+            sentAt, m_now);
+    }
+
+    int64_t usedMillicores(const char* worker = "w")
+    {
+        return m_board.find(samples::life(worker))->used.millicores.count();
+    }
+
+    uint64_t m_sequence { 0 };
+    LookOrder m_look;
+
+    // Guards against a run that starts although its leader has lost the record of it.
+    void sendsOnlyWhatIsRecorded()
+    {
+        begin();
+        m_desk.proposed(m_run, samples::life("w"), samples::step(1), 0, {});
+        CPPUNIT_ASSERT(advance().starts.empty());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 1000 }, usedMillicores());
+        m_desk.settled(m_run, false, m_now);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, usedMillicores());
+        place(m_run);
+        const auto order = start();
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 7 }, order.fence);
+        CPPUNIT_ASSERT_EQUAL(m_clock + m_settings.maxLease / 1ms, order.leaseUntil);
+    }
+
+    // Guards against two runs of one task: a look that reached the worker before the start does not list the run, and
+    // counted as proof that it is gone. Seen on a day with a lossy link.
+    void lookThatOvertookTheStartSaysNothing()
+    {
+        begin();
+        place(m_run);
+        const auto order = start();
+        m_now += 5ms;
+        const TimePoint lookSentAt = m_now;
+        m_now += 20ms;
+        answer(order, OrderVerdict::Done);
+        look(m_look, lookSentAt, {});
+        CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+    }
+
+    // Guards against a task that waits forever because its worker has forgotten it.
+    void laterLookWithoutTheRunLosesIt()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::Done);
+        m_now += 5ms;
+        look(m_look, m_now, {});
+        const auto ends = m_desk.takeEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends.front().end == RunEnd::Lost);
+    }
+
+    // Guards against room that is given away twice when an order is carried out late.
+    void unansweredStartKeepsItsRoom()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::NoAnswer);
+        m_now += 1s;
+        look(m_look, m_now, {});
+        CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 1000 }, usedMillicores());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, advance().starts.size());
+    }
+
+    // Guards against two runs of one task: the repeated start was refused, and the first one was carried out later.
+    void refusalAfterSilenceNeedsAStop()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::NoAnswer);
+        m_now += 1s;
+        const auto again = advance();
+        answer(again.starts.front(), OrderVerdict::NoPermit);
+        CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+        const auto stops = advance().stops;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        m_desk.stopAnswered(stops.front(), { .verdict = OrderVerdict::Done, .clock = m_clock, .bornMs = 1 }, m_now);
+        m_now += 1ms;
+        look(m_look, m_now, {});
+        const auto ends = m_desk.takeEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends.front().end == RunEnd::NeverStarted);
+    }
+
+    // Guards against a refused task that waits for its worker instead of going to another.
+    void refusalOfTheOnlyStartFreesTheRoom()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::NoRoom);
+        CPPUNIT_ASSERT(m_desk.takeEnds().front().end == RunEnd::NeverStarted);
+        m_desk.endRecorded(m_run);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, usedMillicores());
+    }
+
+    // Guards against an end that the worker forgets before it is recorded.
+    void endsAreConfirmedOnceRecorded()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::Done);
+        m_now += 1ms;
+        look(m_look, m_now, {}, { { .number = 3, .run = m_run, .end = RunEnd::Done, .checkpoint = {} } });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_desk.takeEnds().size());
+        const auto mark = m_desk.mark();
+        CPPUNIT_ASSERT(advance().looks.empty());
+        m_desk.endRecorded(m_run);
+        m_desk.recorded(mark);
+        const auto looks = advance().looks;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, looks.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, looks.front().recordedEnds);
+    }
+
+    // Guards against a task in two places while its worker is cut off and goes on under its lease.
+    void silentWorkerLosesRunsOnlyAfterItsLease()
+    {
+        begin();
+        place(m_run);
+        const TimePoint sentAt = m_now;
+        answer(start(), OrderVerdict::Done);
+        const Duration lease = WorkerClock::stretched(m_settings.maxLease);
+        while (m_now < sentAt + lease) {
+            for (const auto& order : advance().looks)
+                m_desk.lookAnswered(order, makeError(ErrorCode::Timeout, "silent"), m_now, m_now);
+            CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+            m_now += 100ms;
+        }
+        // Each look that was sent may have renewed the lease.
+        m_now += lease + 1s;
+        advance();
+        CPPUNIT_ASSERT(m_desk.takeEnds().front().end == RunEnd::Lost);
+    }
+
+    // Guards against waiting for the lease of a worker that has started again.
+    void newLifeEndsTheOldOne()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::Done);
+        report("w", 2);
+        advance();
+        CPPUNIT_ASSERT(m_desk.takeEnds().front().end == RunEnd::Lost);
+    }
+
+    // Guards against a life that seems to return because a partition delayed its report.
+    void lateReportOfAnOldLifeIsIgnored()
+    {
+        begin();
+        report("w", 2);
+        WorkerReport late;
+        late.profile = samples::profile("w", 1);
+        late.sequence = 99;
+        CPPUNIT_ASSERT(m_board.reported(late, m_now) == WorkerBoard::News::Stale);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, m_board.current(WorkerId("w"))->life().bornMs);
+    }
+
+    // Guards against a start of an earlier leader that is taken for gone before its worker knows the new leader.
+    void inheritedRunsAreJudgedByTheFirstLook()
+    {
+        begin(2);
+        place(m_run);
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(second);
+        m_board.clear();
+        m_desk.begin(8, m_now);
+        report("w");
+        const auto orders = advance();
+        CPPUNIT_ASSERT(orders.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.looks.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 8 }, orders.looks.front().fence);
+        look(orders.looks.front(), m_now, { { .run = second, .checkpoint = {} } });
+        const auto ends = m_desk.takeEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends.front().run == m_run && ends.front().end == RunEnd::NeverStarted);
+    }
+
+    // Guards against a second run while the worker of the first cannot be reached by the new leader.
+    void inheritedRunIsKeptWhileItsWorkerIsSilent()
+    {
+        begin();
+        place(m_run);
+        m_board.clear();
+        m_desk.begin(8, m_now);
+        m_now += WorkerClock::stretched(m_settings.maxLease);
+        advance();
+        CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+        m_now += 1s;
+        advance();
+        CPPUNIT_ASSERT(m_desk.takeEnds().front().end == RunEnd::Lost);
+    }
+
+    // Guards against a run that goes on although the record does not place it on this worker.
+    void unknownRunIsStopped()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::Done);
+        m_now += 1ms;
+        const auto stray = samples::run(samples::secondId, 0, 0);
+        look(m_look, m_now, { { .run = m_run, .checkpoint = {} }, { .run = stray, .checkpoint = {} } });
+        const auto stops = advance().stops;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT(stops.front().run == stray);
+    }
+
+    // Guards against members of a gang that give up because another did not start.
+    void incompleteGangIsStoppedInTime()
+    {
+        begin(2, true);
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(m_run);
+        place(second);
+        auto orders = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, orders.starts.size());
+        answer(orders.starts[0], OrderVerdict::Done);
+        answer(orders.starts[1], OrderVerdict::NoAnswer);
+        m_now += m_settings.gangPatience - m_settings.gangMargin + 1ms;
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, advance().stops.size());
+    }
+
+    // Guards against the same when a worker refuses one member.
+    void refusedMemberStopsTheOthers()
+    {
+        begin(2, true);
+        place(m_run);
+        place(samples::run(samples::firstId, 0, 1));
+        const auto orders = advance();
+        answer(orders.starts[0], OrderVerdict::Done);
+        answer(orders.starts[1], OrderVerdict::NoRoom);
+        const auto stops = advance().stops;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT(stops.front().run == orders.starts[0].run);
+    }
+
+    // Guards against a delayed announcement of an end that ends the runs of a worker that lives.
+    void announcedEndWithAnAnswerIsNoEnd()
+    {
+        begin();
+        place(m_run);
+        answer(start(), OrderVerdict::Done);
+        m_desk.lifeLeft(samples::life("w"), m_now);
+        m_now += 900ms;
+        look(m_look, m_now, { { .run = m_run, .checkpoint = {} } });
+        m_now += 500ms;
+        advance();
+        CPPUNIT_ASSERT(m_desk.takeEnds().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunDeskTest);
+
+} // namespace hickoryknot::workflow
