--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -10,6 +10,7 @@
 #include "control/FounderFile.h"
 #include "control/HostAddress.h"
 #include "core/Hash.h"
+#include "report/PrometheusText.h"
 
 namespace hickoryknot {
 
@@ -61,7 +62,7 @@
               .maxWaitingPerEndpoint = 1,
               .connectTimeout = 250ms })
     , m_permits(io, settings.self, permission)
-    , m_scheduler(settings.scheduler, m_state)
+    , m_scheduler(settings.scheduler, m_state, m_log)
     , m_storage({ .name = "storage", .ringCapacity = 64, .period = 1s }, [] {})
     , m_tickTimer(io)
     , m_pumpTimer(io)
@@ -163,6 +164,7 @@
             return;
         const TimePoint now = steadyNow();
         m_runner->tick(now);
+        m_log.tick(now);
         if (m_scheduler.isLeader() && now >= m_nextAdvance)
             pump();
         if (m_scheduler.isLeader() && now >= m_nextMemberChange)
@@ -180,6 +182,8 @@
     m_accepting.clear();
     if (!isLeader) {
         m_scheduler.resign();
+        EventLog::write(EventLevel::Info, Event::LeadershipEnded, "this host leads no longer",
+            { { "term", std::to_string(term) } });
         return;
     }
     m_hosts.clear();
@@ -191,6 +195,10 @@
         view.heardAt = now;
     }
     m_scheduler.becomeLeader(term, now, wallNow());
+    EventLog::write(EventLevel::Info, Event::LeadershipTaken, "this host leads and takes over what may run",
+        { { "term", std::to_string(term) }, { "runs", std::to_string(m_scheduler.desk().size()) },
+            { "workers", std::to_string(m_state.workers().size()) },
+            { "tableVersion", std::to_string(m_state.table().version) } });
     schedulePump(Duration(0));
 }
 
@@ -226,18 +234,24 @@
 
 void WorkflowHost::propose(uint64_t batch, std::vector<WorkflowCommand> commands)
 {
-    std::vector<WorkflowId> accepting;
+    std::vector<std::pair<WorkflowId, QueueName>> accepting;
     for (const auto& command : commands) {
         if (const auto* accept = std::get_if<AcceptWorkflow>(&command))
-            accepting.push_back(accept->id);
+            accepting.emplace_back(accept->id, accept->queue);
     }
     auto waiters = std::make_shared<std::vector<Waiter>>(std::exchange(m_waiters, {}));
     m_runner->propose(encodeCommands(commands), steadyNow(),
         [this, alive = m_isAlive, batch, waiters, accepting](const Expected<std::string>& result) {
             if (!*alive)
                 return;
-            for (const auto& id : accepting)
-                m_accepting.erase(id);
+            for (const auto& [id, queue] : accepting) {
+                const auto since = m_accepting.find(id);
+                if (since == m_accepting.end())
+                    continue;
+                if (result)
+                    m_log.accepted(id, queue, steadyNow() - since->second);
+                m_accepting.erase(since);
+            }
             const bool isUndone = !result && result.error().code == ErrorCode::NotLeader;
             for (const auto& waiter : *waiters) {
                 if (result)
@@ -291,7 +305,7 @@
             if (!*alive)
                 return;
             if (answer.verdict != OrderVerdict::Done)
-                EventLog::write(EventLevel::Warning, Event::TaskStopped,
+                EventLog::write(EventLevel::Warning, Event::OrderNotTaken,
                     "a worker did not take a start", { { "task", describe(order.run.task) },
                         { "run", std::to_string(order.run.run) }, { "worker", order.life.worker.value() },
                         { "answer", orderVerdictName(answer.verdict) } });
@@ -304,12 +318,16 @@
 void WorkflowHost::askPermits(const std::vector<PermitRequest>& requests)
 {
     for (const auto& request : requests) {
-        m_permits.ask(request, steadyNow(),
-            [this, alive = m_isAlive, request](const Expected<PermitAnswer>& answer) {
+        const TimePoint askedAt = steadyNow();
+        m_permits.ask(request, askedAt,
+            [this, alive = m_isAlive, request, askedAt](const Expected<PermitAnswer>& answer) {
                 if (!*alive)
                     return;
-                if (!answer)
-                    EventLog::write(EventLevel::Warning, Event::PeerUnreachable,
+                if (answer)
+                    m_log.permissionAnswered(
+                        request.step, request.workers.size(), answer->granted.size(), steadyNow() - askedAt);
+                else
+                    EventLog::write(EventLevel::Warning, Event::PermissionFailed,
                         "no answer of the permission service: " + answer.error().message,
                         { { "step", describe(request.step) } });
                 m_scheduler.permitAnswered(request, answer, steadyNow());
@@ -369,14 +387,12 @@
         if (const auto returnAfter = m_scheduler.refusal(*target->queue, call.spec, spread, steadyNow())) {
             auto reply = makeReply(ControlVerdict::Refused, "more work is waiting than can end in time");
             reply.retryAfter = *returnAfter;
-            EventLog::write(EventLevel::Info, Event::RequestNotRun, reply.message,
-                { { "workflow", id.value() }, { "queue", target->queue->name.value() },
-                    { "retryAfterMs", std::to_string(*returnAfter / 1ms) } });
+            m_log.refused(id, target->queue->name, *returnAfter);
             return respond(std::move(reply));
         }
     }
     // A resend that meets its own acceptance on the way records it once more, which changes nothing.
-    m_accepting[id] = true;
+    m_accepting.try_emplace(id, steadyNow());
     record(AcceptWorkflow { .id = id,
                .queue = target->queue->name,
                .pool = target->queue->pool,
@@ -420,6 +436,7 @@
         return respond(makeReply(ControlVerdict::NoSuchWorkflow, "no such workflow"));
     if (known && !known->isActive())
         return respond(makeReply(ControlVerdict::Done));
+    m_log.cancelled(id);
     record(CancelWorkflow { .id = id }, respond, makeReply(ControlVerdict::Done));
 }
 
@@ -513,9 +530,21 @@
         m_runner->removeMember(change->host, now);
 }
 
-void WorkflowHost::handOver()
+void WorkflowHost::handOver() { m_runner->handOver(steadyNow()); }
+
+std::string WorkflowHost::metricsText() const
 {
-    m_runner->handOver(steadyNow());
+    Metrics metrics = m_log.metrics();
+    metrics.set(metrics.gauge("hickoryknot_leads", "1 while this host leads"), isLeading() ? 1 : 0);
+    metrics.set(metrics.gauge("hickoryknot_runs_placed", "Runs that may occupy a worker"),
+        static_cast<double>(m_scheduler.desk().size()));
+    metrics.set(metrics.gauge("hickoryknot_steps_ready", "Steps with tasks that wait for a worker"),
+        static_cast<double>(m_scheduler.readySteps()));
+    metrics.set(metrics.gauge("hickoryknot_log_index", "Last entry of the replicated log"),
+        static_cast<double>(m_runner->group().lastIndex()));
+    metrics.set(metrics.gauge("hickoryknot_table_version", "Version of the queue table"),
+        static_cast<double>(m_state.table().version));
+    return renderPrometheus(metrics);
 }
 
 HelloCall WorkflowHost::hello()
--- a/src/control/WorkflowHost.h
+++ b/src/control/WorkflowHost.h
@@ -11,6 +11,7 @@
 #include "app/GroupRunner.h"
 #include "control/ControlCall.h"
 #include "control/ControlReply.h"
+#include "control/DecisionLog.h"
 #include "control/PermitDispatcher.h"
 #include "control/WorkerLink.h"
 #include "control/WorkflowHostSettings.h"
@@ -49,6 +50,9 @@
     /// The disk refuses writes: the process should end and start again.
     bool hasStorageFailed() const { return m_runner->group().storageFailure().has_value(); }
 
+    /// Counters and histograms in the Prometheus text format.
+    std::string metricsText() const;
+
     const workflow::WorkflowScheduler& scheduler() const { return m_scheduler; }
     const workflow::WorkflowState& state() const { return m_state; }
     const GroupRunner& runner() const { return *m_runner; }
@@ -90,6 +94,7 @@
     WorkerLink& m_workers;
     HttpClient m_logClient;
     PermitDispatcher m_permits;
+    DecisionLog m_log;
     workflow::WorkflowState m_state;
     workflow::WorkflowScheduler m_scheduler;
     DutyThread m_storage;
@@ -97,8 +102,8 @@
 
     std::vector<workflow::WorkflowCommand> m_commands;
     std::vector<Waiter> m_waiters;
-    /// Workflows whose acceptance is on its way to the record, with callers that sent them again.
-    std::map<workflow::WorkflowId, bool> m_accepting;
+    /// Workflows whose acceptance is on its way to the record, since when.
+    std::map<workflow::WorkflowId, TimePoint> m_accepting;
     std::map<HostId, HostView> m_hosts;
     std::map<HostId, size_t> m_logMessagesInFlight;
     boost::asio::steady_timer m_tickTimer;
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -31,6 +31,8 @@
     std::string contentType { "application/json" };
     HttpHeaders headers {};
     std::string body {};
+    /// A server closes the connection after this answer, so that the caller's next request may reach another host.
+    bool closesConnection { false };
 };
 
 } // namespace hickoryknot
--- a/src/net/HttpServerConnection.cpp
+++ b/src/net/HttpServerConnection.cpp
@@ -191,7 +191,8 @@
     if (m_state->isClosed)
         return;
     HICKORYKNOT_ASSERT(m_state->isInProgress, "each request is answered once");
-    write(std::move(response), m_state->parser->get().keep_alive() && !m_context->isDraining);
+    const bool keepAlive = m_state->parser->get().keep_alive() && !m_context->isDraining && !response.closesConnection;
+    write(std::move(response), keepAlive);
 }
 
 void HttpServerConnection::reject(int status, const Error& error)
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "workflow/SchedulerObserver.h"
 #include "workflow/WorkflowState.h"
 
 namespace hickoryknot::workflow {
@@ -21,9 +22,11 @@
 
 } // namespace
 
-WorkflowScheduler::WorkflowScheduler(const SchedulerSettings& settings, WorkflowState& state)
+WorkflowScheduler::WorkflowScheduler(
+    const SchedulerSettings& settings, WorkflowState& state, SchedulerObserver& observer)
     : m_settings(settings)
     , m_state(state)
+    , m_observer(observer)
     , m_board(m_settings)
     , m_desk(m_settings, state, m_board)
     , m_permits(m_settings)
@@ -139,8 +142,11 @@
 
     Batch batch;
     EndRuns ends { .entries = m_desk.takeEnds() };
-    for (const auto& end : ends.entries)
+    for (const auto& end : ends.entries) {
         batch.ended.push_back(end.run);
+        if (const RunView* run = m_desk.find(end.run))
+            m_observer.runEnded(end.run, run->life, end.end);
+    }
     batch.mark = m_desk.mark();
     if (!ends.entries.empty())
         output.commands.emplace_back(std::move(ends));
@@ -227,6 +233,8 @@
 {
     const WorkflowRecord* record = m_state.find(id);
     if (!record || !record->isActive()) {
+        if (const auto known = m_tracked.find(id); record && known != m_tracked.end())
+            m_observer.workflowEnded(*record, now - known->second.acceptedAt);
         untrack(id);
         if (record && m_knownEnded.insert(id).second)
             m_ended.emplace_back(now, id);
@@ -322,6 +330,8 @@
             if (!spec.usesSpareCapacity && !spec.isLongRunning)
                 tracked.work += static_cast<double>(ready.tasks.size())
                     * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimate.count());
+            const auto since = tracked.readySince.try_emplace(ref, now).first;
+            ready.readySince = since->second;
             tracked.ready.push_back(ref);
             m_ready.insert_or_assign(ref, std::move(ready));
         }
@@ -403,10 +413,13 @@
         steps.push_back(&step);
     auto decisions = m_planner.plan(steps, now);
     output.permits = std::move(decisions.requests);
-    for (const auto& run : decisions.preemptions)
+    for (const auto& run : decisions.preemptions) {
+        m_observer.stopRequested(run, "a gang of higher priority needs its room");
         m_desk.requestStop(run, now);
+    }
     if (decisions.placements.empty())
         return;
+    tellPlacements(decisions.placements, now);
     PlaceRuns command;
     std::map<WorkerLife, uint32_t> lives;
     for (auto& placement : decisions.placements) {
@@ -440,6 +453,21 @@
     }
 }
 
+void WorkflowScheduler::tellPlacements(const std::vector<Planner::Placement>& placements, TimePoint now)
+{
+    // Placements of one step follow each other.
+    for (size_t first = 0; first < placements.size();) {
+        const StepRef& ref = placements[first].run.task.step;
+        std::set<WorkerLife> workers;
+        size_t end = first;
+        for (; end < placements.size() && placements[end].run.task.step == ref; ++end)
+            workers.insert(placements[end].life);
+        const ReadyStep& step = m_ready.at(ref);
+        m_observer.tasksPlaced(ref, end - first, workers.size(), now - step.readySince, step.latestStart() - now);
+        first = end;
+    }
+}
+
 std::optional<Duration> WorkflowScheduler::refusal(
     const Queue& queue, const WorkflowSpec& spec, double spread, TimePoint now) const
 {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -14,6 +14,7 @@
 
 namespace hickoryknot::workflow {
 
+class SchedulerObserver;
 class WorkflowState;
 
 /// Runs on the leader of the group that holds the workflows: takes reports and answers of workers, decides what starts
@@ -22,7 +23,7 @@
 class WorkflowScheduler final : private WorkflowListener {
 public:
     /// Keeps references; registers itself as the state's listener.
-    WorkflowScheduler(const SchedulerSettings&, WorkflowState&);
+    WorkflowScheduler(const SchedulerSettings&, WorkflowState&, SchedulerObserver&);
     ~WorkflowScheduler() override;
 
     /// The host leads, and the state holds all entries of earlier terms. `fence` is higher than that of every earlier
@@ -78,6 +79,7 @@
     /// Soft state of an open workflow.
     struct Tracked {
         std::vector<StepRef> ready;
+        std::map<StepRef, TimePoint> readySince;
         double work { 0 }; // Estimated work that is ready and waits; thousandths of a core times microseconds.
         uint32_t priority { 0 };
         TimePoint acceptedAt;
@@ -99,9 +101,11 @@
     void recordWorkers(std::vector<WorkflowCommand>&, TimePoint now);
     void forgetEnded(std::vector<WorkflowCommand>&, TimePoint now);
     void placeReady(Output&, Batch&, TimePoint now);
+    void tellPlacements(const std::vector<Planner::Placement>&, TimePoint now);
 
     SchedulerSettings m_settings;
     WorkflowState& m_state;
+    SchedulerObserver& m_observer;
     bool m_isLeader { false };
     uint64_t m_fence { 0 };
 
