Name all allowed workers in one permission call, and queue calls for 0.7 s at most

Cause: in the seconds after a cut half of the permission calls took over 0.2 s, 48 long ones waited in two seconds, because gangs whose permissions no longer matched the free room asked again and again.

--- a/src/control/PermitDispatcher.cpp
+++ b/src/control/PermitDispatcher.cpp
@@ -18,6 +18,9 @@
 /// Calls that take longer than this leave one host in four to the shorter ones, which would otherwise wait behind them.
 constexpr Duration longCall = 100ms;
 constexpr size_t hostsPerReserved = 4;
+/// A call that could only begin later than this is not queued: it is asked for again when it is still wanted, and
+/// whatever is more urgent by then goes first.
+constexpr Duration longestQueue = 700ms;
 /// Time without calls after one went wrong.
 constexpr Duration failurePause = 1s;
 
@@ -58,6 +61,8 @@
         m_helpers[m_self].heardAt = now;
     const HostId host = choose(request.cost, now);
     Helper& helper = m_helpers[host];
+    if (helper.freeAt > now + longestQueue)
+        return completion(makeError(ErrorCode::Overloaded, "all hosts have calls to the permission service waiting"));
     helper.freeAt = std::max(helper.freeAt, now) + request.cost;
     const Duration limit = helper.freeAt - now + callMargin;
     PermitCall call { .step = request.step, .workers = request.workers, .timeLimit = limit };
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -200,13 +200,16 @@
     const auto need = static_cast<uint32_t>(step.tasks.size());
     const bool needsPermits = step.queue.permission.isNeeded;
     std::vector<Slot*> unknown;
+    std::vector<Slot*> allowed;
     std::vector<Slot*> roomy;
     for (auto& slot : m_slots) {
         if (!isPossible(slot, step))
             continue;
-        if (needsPermits && !m_permits.isKnownAllowed(step.ref, slot.view->life().worker))
-            unknown.push_back(&slot);
-        else if (!slot.isHeld && roomFor(slot, step, 1))
+        const bool isUnknown = needsPermits && !m_permits.isKnownAllowed(step.ref, slot.view->life().worker);
+        (isUnknown ? unknown : allowed).push_back(&slot);
+        if (isUnknown)
+            continue;
+        if (!slot.isHeld && roomFor(slot, step, 1))
             roomy.push_back(&slot);
     }
     // Which workers are allowed never changes, so one call about all of them serves every later decision.
@@ -237,8 +240,9 @@
         // There is room, but some of its permissions have expired. Others must not take it before the answer comes.
         for (auto* slot : used)
             slot->isHeld = true;
+        // A call takes far longer than naming one more worker, and the room may move meanwhile.
         if (mayAsk)
-            ask(step, used, decisions, now);
+            ask(step, allowed, decisions, now);
         return;
     }
     // Workers that came after the first call may be allowed too.
@@ -364,12 +368,14 @@
         }
     }
     // The permissions are asked for while the stops are under way.
-    if (needsPermits && m_permits.mayAsk(step.ref, now)) {
-        const bool areAllValid = std::all_of(used.begin(), used.end(), [&](const Slot* slot) {
-            return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr;
-        });
-        if (!areAllValid)
-            ask(step, used, decisions, now);
+    const bool areAllValid = !needsPermits || std::all_of(used.begin(), used.end(), [&](const Slot* slot) {
+        return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr;
+    });
+    if (!areAllValid && m_permits.mayAsk(step.ref, now)) {
+        std::vector<Slot*> allowed;
+        for (const auto& option : options)
+            allowed.push_back(option.slot);
+        ask(step, allowed, decisions, now);
     }
     return true;
 }
