--- /dev/null
+++ b/tests/workflow/StandInWorker.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/Error.h"
+#include "workflow/StepSpec.h"
+#include "workflow/WorkerOrders.h"
+#include "workflow/WorkerProfile.h"
+
+namespace hickoryknot::workflow {
+
+/// A worker that follows the platform's promises and no more: it keeps the highest fence that it has seen, kills
+/// everything when its lease runs out by its own clock, starts whatever it is told to start, and lists ends until they
+/// are confirmed. Time is the world's.
+class StandInWorker {
+public:
+    /// Size of a task, its run time and whether it fails; the worker itself does not know steps.
+    struct Behaviour {
+        StepSpec spec;
+        Duration runTime { 0 };
+        bool fails { false };
+    };
+    using FindBehaviour = std::function<Behaviour(const RunRef&)>;
+
+    struct Run {
+        RunRef run;
+        StepSpec spec;
+        Duration left { 0 }; // Work that is left; a gang works only while all its members are present.
+        bool fails { false };
+        bool isStopping { false };
+        TimePoint stopsAt;
+        TimePoint startedAt;
+        std::string checkpoint;
+    };
+
+    StandInWorker(WorkerProfile, double clockRate, TimePoint now, FindBehaviour);
+
+    /// Begins a new life under the same id; nothing of the old one is known.
+    void restart(TimePoint now);
+
+    OrderAnswer start(const StartOrder&, TimePoint now);
+    OrderAnswer stop(const StopOrder&, TimePoint now);
+    Expected<LookAnswer> look(const LookOrder&, TimePoint now);
+
+    /// Lets `passed` of work be done. `isGangWhole` tells whether all members of a gang's run are present.
+    void advance(Duration passed, TimePoint now, const std::function<bool(const RunRef&)>& isGangWhole);
+    /// Another member of the gang has ended.
+    void memberEnded(const RunRef& of, bool isDone, TimePoint now);
+
+    const WorkerProfile& profile() const { return m_profile; }
+    WorkerMs clock(TimePoint now) const;
+    const std::map<TaskRef, Run>& runs() const { return m_runs; }
+    /// Ends since the last call, with how they came about.
+    std::vector<ListedEnd> takeNewEnds();
+    /// Ends that were confirmed since the last call.
+    std::vector<ListedEnd> takeConfirmed();
+    /// Number of times the lease ran out in this life.
+    uint64_t lapses() const { return m_lapses; }
+
+private:
+    void end(const TaskRef&, RunEnd, const std::string& checkpoint);
+    void checkLease(TimePoint now);
+    void renew(WorkerMs until, TimePoint now);
+
+    WorkerProfile m_profile;
+    double m_clockRate;
+    TimePoint m_bornAt;
+    FindBehaviour m_findBehaviour;
+    uint64_t m_fence { 0 };
+    WorkerMs m_leaseEnd { 0 };
+    uint64_t m_lapses { 0 };
+    std::map<TaskRef, Run> m_runs;
+    std::map<TaskRef, uint32_t> m_highestEnded;
+    uint64_t m_lastEnd { 0 };
+    std::vector<ListedEnd> m_ended;
+    std::vector<ListedEnd> m_newEnds;
+    std::vector<ListedEnd> m_confirmed;
+};
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/tests/workflow/WorkflowWorld.cpp
@@ -0,0 +1,337 @@
+#include "WorkflowWorld.h"
+
+#include <algorithm>
+
+#include "WorkflowSamples.h"
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+constexpr Duration stepTime = 5ms;
+constexpr Duration reportPeriod = 1500ms;
+constexpr size_t workerCount = 5;
+constexpr WallTime epoch { std::chrono::hours(24 * 365 * 50) };
+
+class SilentObserver final : public SchedulerObserver {
+    void tasksPlaced(const StepRef&, size_t, size_t, Duration, Duration) override { }
+    void stopRequested(const RunRef&, const char*) override { }
+    void runEnded(const RunRef&, const WorkerLife&, RunEnd) override { }
+    void workflowEnded(const WorkflowRecord&, Duration) override { }
+    void workerLost(const WorkerLife&, const char*) override { }
+};
+
+} // namespace
+
+struct WorkflowWorld::Host {
+    Host(const SchedulerSettings& settings, SchedulerObserver& observer)
+        : scheduler(settings, state, observer)
+    {
+    }
+
+    WorkflowState state;
+    WorkflowScheduler scheduler;
+    size_t applied { 0 };
+};
+
+WorkflowWorld::WorkflowWorld(uint64_t seed)
+    : m_random(seed)
+    , m_observer(std::make_unique<SilentObserver>())
+{
+    for (int i = 0; i < 3; ++i)
+        m_hosts.push_back(std::make_unique<Host>(m_settings, *m_observer));
+    for (size_t i = 0; i < workerCount; ++i) {
+        auto profile = samples::profile(("w" + std::to_string(i)).c_str(), 1, 4000);
+        // Up to 2% slow, as the platform's workers are.
+        const double rate = 1 - static_cast<double>(m_random() % 201) / 10'000;
+        m_workers.push_back(std::make_unique<StandInWorker>(
+            profile, rate, m_now - 100s, [this](const RunRef& run) { return behaviourOf(run); }));
+    }
+    m_log.push_back(encodeCommands({ ReplaceTable { samples::table(1) } }));
+    elect(0);
+}
+
+WorkflowWorld::~WorkflowWorld() = default;
+
+bool WorkflowWorld::chance(double perStep)
+{
+    return static_cast<double>(m_random() % 1'000'000) < perStep * 1'000'000;
+}
+
+Duration WorkflowWorld::delay() { return Duration(500 + m_random() % (chance(0.1) ? 60'000 : 4'000)); }
+
+void WorkflowWorld::later(Duration after, std::function<void()> run)
+{
+    m_events.insert({ m_now + after, m_nextEvent++, std::move(run) });
+}
+
+void WorkflowWorld::fail(const std::string& violation)
+{
+    if (m_violation.empty())
+        m_violation = violation;
+}
+
+StandInWorker::Behaviour WorkflowWorld::behaviourOf(const RunRef& run)
+{
+    // Decided by the ids alone, so that every run of a task behaves alike.
+    const uint64_t hash = std::hash<std::string>()(describe(run.task));
+    const WorkflowRecord* record = m_hosts[m_leader]->state.find(run.task.step.workflow);
+    StepSpec spec = samples::step(1);
+    if (record && run.task.step.step < record->spec.steps.size())
+        spec = record->spec.steps[run.task.step.step];
+    const bool isHopeless = hash % 29 == 0;
+    return { .spec = spec, .runTime = Duration(100'000 + hash % 1'500'000), .fails = isHopeless };
+}
+
+std::string WorkflowWorld::step()
+{
+    m_now += stepTime;
+    while (!m_events.empty() && m_events.begin()->at <= m_now) {
+        const auto event = m_events.extract(m_events.begin());
+        event.value().run();
+    }
+    if (!m_isCalm) {
+        submit();
+        injectFaults();
+    }
+    reportWorkers();
+    drive();
+    advanceWorkers();
+    checkWorkers();
+    return m_violation;
+}
+
+void WorkflowWorld::calm()
+{
+    m_isCalm = true;
+    for (auto& [id, link] : m_links)
+        link = {};
+}
+
+void WorkflowWorld::submit()
+{
+    if (!chance(0.01))
+        return;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(m_nextWorkflow++));
+    std::vector<StepSpec> steps;
+    for (size_t i = 0; i < 1 + m_random() % 3; ++i) {
+        auto step = samples::step(static_cast<uint32_t>(1 + m_random() % 4), 500 + static_cast<int64_t>(m_random() % 1500));
+        step.isGang = chance(0.3);
+        step.isCheckpointing = chance(0.5);
+        step.maxPerWorker = chance(0.2) ? 1 : 0;
+        if (i > 0 && chance(0.7))
+            step.after = { static_cast<uint32_t>(i - 1) };
+        steps.push_back(step);
+    }
+    m_submissions.emplace_back(samples::accept(WorkflowId(id), std::move(steps), chance(0.5) ? "q" : "low"));
+    if (chance(0.2)) {
+        std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(1 + m_random() % m_nextWorkflow));
+        m_submissions.emplace_back(CancelWorkflow { WorkflowId(id) });
+    }
+}
+
+void WorkflowWorld::injectFaults()
+{
+    if (chance(0.001))
+        elect((m_leader + 1 + m_random() % 2) % m_hosts.size());
+    for (auto& worker : m_workers) {
+        auto& link = m_links[worker->profile().life.worker];
+        const auto span = Duration(m_random() % 8'000'000);
+        if (chance(0.0004))
+            link.cutUntil = m_now + span;
+        if (chance(0.0004))
+            link.muteUntil = m_now + span;
+        if (chance(0.0003))
+            worker->restart(m_now);
+    }
+}
+
+void WorkflowWorld::elect(size_t next)
+{
+    m_hosts[m_leader]->scheduler.resign();
+    m_leader = next;
+    Host& host = *m_hosts[next];
+    apply(host);
+    host.scheduler.becomeLeader(++m_term, m_now, epoch + m_now.time_since_epoch());
+}
+
+void WorkflowWorld::apply(Host& host)
+{
+    for (; host.applied < m_log.size(); ++host.applied)
+        host.state.apply(host.applied, m_log[host.applied]);
+}
+
+void WorkflowWorld::commit(std::vector<WorkflowCommand> commands, uint64_t batch)
+{
+    // A commit takes a round trip and a sync; a leader that is replaced meanwhile has not committed.
+    const uint64_t term = m_term;
+    const auto payload = encodeCommands(commands);
+    later(Duration(8'000 + m_random() % 10'000), [this, term, batch, payload] {
+        if (term != m_term)
+            return;
+        Host& host = *m_hosts[m_leader];
+        m_log.push_back(payload);
+        apply(host);
+        host.scheduler.recorded(batch, m_now);
+    });
+}
+
+StandInWorker* WorkflowWorld::workerAt(const WorkerLife& life)
+{
+    for (auto& worker : m_workers) {
+        if (worker->profile().life.worker == life.worker)
+            return worker.get();
+    }
+    return nullptr;
+}
+
+template <typename Order, typename Answer, typename Take>
+void WorkflowWorld::send(
+    const Order& order, Answer (StandInWorker::*call)(const Order&, TimePoint), Answer lost, Take take)
+{
+    const uint64_t term = m_term;
+    auto isAnswered = std::make_shared<bool>(false);
+    const auto answer = [this, term, isAnswered, take](const Answer& value) {
+        if (!std::exchange(*isAnswered, true) && term == m_term)
+            take(value);
+    };
+    later(500ms, [answer, lost] { answer(lost); });
+    const auto& link = m_links[order.life.worker];
+    if (m_now < link.cutUntil || (!m_isCalm && chance(0.01)))
+        return;
+    // Some orders get no answer and are carried out seconds later.
+    const bool isLate = !m_isCalm && chance(0.03);
+    const Duration way = isLate ? Duration(2'000'000 + m_random() % 10'000'000) : delay();
+    later(way, [this, order, call, answer, isLate] {
+        StandInWorker* worker = workerAt(order.life);
+        // The platform's header keeps orders from another life.
+        if (!worker || worker->profile().life.bornMs != order.life.bornMs)
+            return;
+        const Answer value = (worker->*call)(order, m_now);
+        const auto& back = m_links[order.life.worker];
+        if (!isLate && m_now >= back.cutUntil && m_now >= back.muteUntil)
+            later(delay(), [answer, value] { answer(value); });
+    });
+}
+
+void WorkflowWorld::drive()
+{
+    Host& host = *m_hosts[m_leader];
+    auto output = host.scheduler.advance(m_now, epoch + m_now.time_since_epoch());
+    auto commands = std::exchange(m_submissions, {});
+    commands.insert(commands.end(), output.commands.begin(), output.commands.end());
+    if (!commands.empty())
+        commit(std::move(commands), output.batch);
+    auto& scheduler = host.scheduler;
+    for (const auto& order : output.orders.starts)
+        send(order, &StandInWorker::start, OrderAnswer {},
+            [this, &scheduler, order](const OrderAnswer& answer) { scheduler.startAnswered(order, answer, m_now); });
+    for (const auto& order : output.orders.stops)
+        send(order, &StandInWorker::stop, OrderAnswer {},
+            [this, &scheduler, order](const OrderAnswer& answer) { scheduler.stopAnswered(order, answer, m_now); });
+    for (const auto& order : output.orders.looks)
+        send(order, &StandInWorker::look, Expected<LookAnswer>(makeError(ErrorCode::Timeout, "no answer")),
+            [this, &scheduler, order, sentAt = m_now](const Expected<LookAnswer>& answer) {
+                scheduler.lookAnswered(order, answer, sentAt, m_now);
+            });
+}
+
+void WorkflowWorld::reportWorkers()
+{
+    for (auto& worker : m_workers) {
+        const auto id = worker->profile().life.worker;
+        if ((m_now.time_since_epoch() + std::hash<std::string>()(id.value()) % 1000 * 1ms) % reportPeriod >= stepTime)
+            continue;
+        if (m_now < m_links[id].cutUntil)
+            continue;
+        WorkerReport report { .profile = worker->profile(),
+            .sequence = ++m_sequences[id],
+            .clock = worker->clock(m_now),
+            .remaining = {} };
+        later(delay(), [this, report] { m_hosts[m_leader]->scheduler.workerReported(report, m_now); });
+    }
+}
+
+void WorkflowWorld::advanceWorkers()
+{
+    std::map<std::pair<StepRef, uint32_t>, size_t> members;
+    for (const auto& worker : m_workers) {
+        for (const auto& [task, run] : worker->runs())
+            members[{ task.step, run.run.run }] += run.isStopping ? 0 : 1;
+    }
+    for (auto& worker : m_workers) {
+        worker->advance(stepTime, m_now, [&](const RunRef& run) {
+            return members[{ run.task.step, run.run }] >= behaviourOf(run).spec.count;
+        });
+    }
+    for (auto& worker : m_workers)
+        noteEnds(*worker);
+}
+
+void WorkflowWorld::noteEnds(StandInWorker& worker)
+{
+    for (const auto& end : worker.takeNewEnds()) {
+        const auto spec = behaviourOf(end.run).spec;
+        if (end.end == RunEnd::Failed)
+            ++m_failures[end.run.task];
+        if (!spec.isGang)
+            continue;
+        for (auto& other : m_workers)
+            other->memberEnded(end.run, end.end == RunEnd::Done, m_now);
+    }
+    // An end stands once it is confirmed to its worker.
+    for (const auto& end : worker.takeConfirmed()) {
+        if (end.end == RunEnd::Done)
+            m_done.insert(end.run.task);
+    }
+}
+
+void WorkflowWorld::checkWorkers()
+{
+    std::map<TaskRef, WorkerId> places;
+    const WorkflowState& state = m_hosts[m_leader]->state;
+    for (const auto& worker : m_workers) {
+        Resources used;
+        std::map<StepRef, uint32_t> perStep;
+        for (const auto& [task, run] : worker->runs()) {
+            used += run.spec.perTask;
+            ++perStep[task.step];
+            const auto [at, isOnly] = places.try_emplace(task, worker->profile().life.worker);
+            if (!isOnly)
+                fail("task " + describe(task) + " runs on " + at->second.value() + " and "
+                    + worker->profile().life.worker.value());
+            if (run.startedAt != m_now && run.startedAt + stepTime < m_now)
+                continue;
+            // Promises about the start of a run.
+            ++m_started;
+            if (m_done.contains(task))
+                fail("task " + describe(task) + " starts although its end as done was confirmed");
+            const WorkflowRecord* record = state.find(task.step.workflow);
+            const OccurrenceRecord* occurrence = record ? record->find(task.step.occurrence) : nullptr;
+            for (const uint32_t earlier : run.spec.after) {
+                if (occurrence && earlier < occurrence->steps.size() && !occurrence->steps[earlier].isDone())
+                    fail("task " + describe(task) + " starts before step " + std::to_string(earlier) + " is done");
+            }
+        }
+        if (!used.fitsInto(worker->profile().capacity))
+            fail("worker " + worker->profile().life.worker.value() + " is over its capacity");
+        for (const auto& [task, run] : worker->runs()) {
+            if (run.spec.maxPerWorker && perStep[task.step] > run.spec.maxPerWorker)
+                fail("step " + describe(task.step) + " has too many tasks on one worker");
+        }
+    }
+}
+
+std::string WorkflowWorld::openWorkflows() const
+{
+    std::string text;
+    const Host& host = *m_hosts[m_leader];
+    for (const auto& [id, record] : host.state.workflows()) {
+        if (record.isActive())
+            text += host.scheduler.explain(id, m_now, epoch + m_now.time_since_epoch()) + "\n";
+    }
+    return text;
+}
+
+} // namespace hickoryknot::workflow
--- /dev/null
+++ b/tests/workflow/WorkflowWorld.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "StandInWorker.h"
+#include "workflow/SchedulerObserver.h"
+#include "workflow/WorkflowScheduler.h"
+#include "workflow/WorkflowState.h"
+
+namespace hickoryknot::workflow {
+
+/// Three hosts with one log, of which one leads, and workers behind links that lose, delay and reorder. Leaders change at
+/// any moment; orders of a replaced leader still arrive, some of them seconds late. step() returns the first broken
+/// promise as a sentence.
+class WorkflowWorld {
+public:
+    explicit WorkflowWorld(uint64_t seed);
+    ~WorkflowWorld();
+
+    /// Advances time by 5 ms.
+    std::string step();
+    /// No further fault and no further workflow comes.
+    void calm();
+    /// Workflows that have no final state, as explanations.
+    std::string openWorkflows() const;
+    size_t startedRuns() const { return m_started; }
+
+private:
+    struct Host;
+    struct Link {
+        TimePoint cutUntil; // Nothing passes.
+        TimePoint muteUntil; // Orders pass, answers do not.
+    };
+    struct Event {
+        TimePoint at;
+        uint64_t order;
+        std::function<void()> run;
+        bool operator<(const Event& other) const
+        {
+            return at != other.at ? at < other.at : order < other.order;
+        }
+    };
+
+    bool chance(double perStep);
+    Duration delay();
+    void later(Duration, std::function<void()>);
+    void submit();
+    void injectFaults();
+    void elect(size_t host);
+    void drive();
+    void commit(std::vector<WorkflowCommand>, uint64_t batch);
+    void apply(Host&);
+    template <typename Order, typename Answer, typename Take>
+    void send(const Order&, Answer (StandInWorker::*)(const Order&, TimePoint), Answer lost, Take);
+    StandInWorker* workerAt(const WorkerLife&);
+    void reportWorkers();
+    void advanceWorkers();
+    void noteEnds(StandInWorker&);
+    void checkWorkers();
+    void fail(const std::string&);
+    StandInWorker::Behaviour behaviourOf(const RunRef&);
+
+    std::mt19937_64 m_random;
+    bool m_isCalm { false };
+    TimePoint m_now { 1000s };
+    SchedulerSettings m_settings;
+    std::unique_ptr<SchedulerObserver> m_observer;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    size_t m_leader { 0 };
+    uint64_t m_term { 0 };
+    std::vector<std::string> m_log;
+    std::vector<std::unique_ptr<StandInWorker>> m_workers;
+    std::map<WorkerId, Link> m_links;
+    std::map<WorkerId, uint64_t> m_sequences;
+    std::multiset<Event> m_events;
+    uint64_t m_nextEvent { 0 };
+    uint64_t m_nextWorkflow { 1 };
+    size_t m_started { 0 };
+    std::vector<WorkflowCommand> m_submissions;
+    /// What the workers have seen, by task.
+    std::set<TaskRef> m_done;
+    std::map<TaskRef, uint32_t> m_failures;
+    std::string m_violation;
+};
+
+} // namespace hickoryknot::workflow
