--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -20,6 +20,8 @@
 /// Tasks of lower priority make room for a gang that must start within this time to be in time: a stop, a call for
 /// permission and a start take up to two seconds. Earlier, ends of runs may make room by themselves.
 constexpr Duration preemptWithin = 3s;
+/// How long a step keeps off workers on which it failed, if no other has room: about one run time.
+constexpr Duration avoidFor = 3s;
 /// A run that has come this far is left to end by itself: a stop may take almost as long.
 constexpr uint32_t nearEndPercent = 75;
 
@@ -45,6 +47,7 @@
 Planner::Decisions Planner::plan(std::vector<ReadyStep*>& steps, TimePoint now)
 {
     Decisions decisions;
+    m_now = now;
     m_slots.clear();
     m_heldGangs = 0;
     for (auto& [life, view] : m_board.views()) {
@@ -85,7 +88,9 @@
 
 bool Planner::isPossible(const Slot& slot, const ReadyStep& step) const
 {
-    return WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
+    const bool isAvoided
+        = m_now - step.readySince < avoidFor && step.avoided.contains(slot.view->life().worker);
+    return !isAvoided && WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
         && !m_permits.isDenied(step.ref, slot.view->life().worker);
 }
 
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -70,6 +70,7 @@
     {
         return roomIn(slot, step, slot.free(), most);
     }
+    /// True if the step may run there, room and permissions aside.
     bool isPossible(const Slot&, const ReadyStep&) const;
     std::vector<Slot*> candidates(const ReadyStep&, TimePoint now);
     void placeTasks(const ReadyStep&, const std::vector<Slot*>&, Decisions&, TimePoint now);
@@ -88,6 +89,7 @@
     const RunDesk& m_desk;
     std::vector<Slot> m_slots;
     size_t m_heldGangs { 0 };
+    TimePoint m_now;
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "core/Time.h"
@@ -26,6 +27,8 @@
     /// Estimated run time from the start of this step to the end of the workflow.
     Duration chain { 0 };
     TimePoint readySince;
+    /// Workers on which a run of the step has failed. They are left alone for a while, because the fault may be theirs.
+    std::set<WorkerId> avoided;
 
     /// Latest start at which the workflow can still end in time.
     TimePoint latestStart() const { return dueAt - chain; }
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -144,8 +144,13 @@
     EndRuns ends { .entries = m_desk.takeEnds() };
     for (const auto& end : ends.entries) {
         batch.ended.push_back(end.run);
-        if (const RunView* run = m_desk.find(end.run))
-            m_observer.runEnded(end.run, run->life, end.end);
+        const RunView* run = m_desk.find(end.run);
+        if (!run)
+            continue;
+        m_observer.runEnded(end.run, run->life, end.end);
+        const auto tracked = m_tracked.find(end.run.task.step.workflow);
+        if (end.end == RunEnd::Failed && tracked != m_tracked.end())
+            tracked->second.failedOn[end.run.task.step].insert(run->life.worker);
     }
     batch.mark = m_desk.mark();
     if (!ends.entries.empty())
@@ -317,8 +322,10 @@
                 }
                 ready.tasks.push_back({ .index = index, .nextRun = task.run + 1 });
             }
-            if (ready.tasks.empty() || (spec.isGang && hasProposed))
+            if (ready.tasks.empty() || (spec.isGang && hasProposed)) {
+                tracked.readySince.erase(ref);
                 continue;
+            }
             if (spec.isGang) {
                 // Members share one number, higher than any that a member has had.
                 uint32_t run = 0;
@@ -332,6 +339,8 @@
                     * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimate.count());
             const auto since = tracked.readySince.try_emplace(ref, now).first;
             ready.readySince = since->second;
+            if (const auto failed = tracked.failedOn.find(ref); failed != tracked.failedOn.end())
+                ready.avoided = failed->second;
             tracked.ready.push_back(ref);
             m_ready.insert_or_assign(ref, std::move(ready));
         }
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -80,6 +80,7 @@
     struct Tracked {
         std::vector<StepRef> ready;
         std::map<StepRef, TimePoint> readySince;
+        std::map<StepRef, std::set<WorkerId>> failedOn;
         double work { 0 }; // Estimated work that is ready and waits; thousandths of a core times microseconds.
         uint32_t priority { 0 };
         TimePoint acceptedAt;
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(asksForPermissionBeforePlacing);
     CPPUNIT_TEST(gangAsksOnceAboutAllWorkers);
     CPPUNIT_TEST(unusableWorkersGetNothing);
+    CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
     CPPUNIT_TEST(sameInputsGiveTheSamePlan);
     CPPUNIT_TEST_SUITE_END();
 
@@ -247,6 +248,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"), plan().placements.front().life.worker.value());
     }
 
+    // Guards against a workflow that fails because one worker, which fails everything, got all its attempts.
+    void failedTaskGoesToAnotherWorker()
+    {
+        addWorker("a", 1000);
+        addWorker("b", 2000);
+        auto& step = addStep(samples::firstId, samples::step(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), plan().placements.front().life.worker.value());
+        step.readySince = m_now;
+        step.avoided = { WorkerId("a") };
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), plan().placements.front().life.worker.value());
+        // Better there than nowhere.
+        step.avoided = { WorkerId("a"), WorkerId("b") };
+        CPPUNIT_ASSERT(plan().placements.empty());
+        m_now += 3s;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, plan().placements.size());
+    }
+
     // Guards against decisions that depend on addresses in memory.
     void sameInputsGiveTheSamePlan()
     {
