Find successors of a worker's life by index

Cause: the new measurement program shows decisions that grow with the square of the workers: each look at the leases compared every life with every other.

--- /dev/null
+++ b/bench/workflow/SchedulerBench.cpp
@@ -0,0 +1,256 @@
+#include <chrono>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <deque>
+#include <map>
+#include <random>
+
+#include "workflow/SchedulerObserver.h"
+#include "workflow/WorkflowScheduler.h"
+#include "workflow/WorkflowState.h"
+
+// Measures the processor time of the leader's decisions and records, without network and disk, for a number of workers
+// and submissions a second. Workers and the permission service answer at once.
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+class SilentObserver final : public SchedulerObserver {
+    void tasksPlaced(const StepRef&, size_t, size_t, Duration, Duration) override { }
+    void stopRequested(const RunRef&, const char*) override { }
+    void runEnded(const RunRef&, const WorkerLife&, RunEnd) override { }
+    void workflowEnded(const WorkflowRecord&, Duration) override { }
+    void workerLost(const WorkerLife&, const char*) override { }
+};
+
+struct Run {
+    RunRef run;
+    TimePoint endsAt;
+};
+
+struct Worker {
+    WorkerProfile profile;
+    std::map<TaskRef, Run> runs;
+    std::vector<ListedEnd> ended;
+    uint64_t lastEnd { 0 };
+    std::optional<LookOrder> look;
+    TimePoint lookUntil;
+};
+
+constexpr WallTime calendar { std::chrono::hours(24 * 365 * 50) };
+
+Queue makeQueue(const char* name, uint32_t priority, Duration perCall, Duration perWorker)
+{
+    Queue queue;
+    queue.name = QueueName(name);
+    queue.callerHost = "host";
+    queue.pathPrefix = std::string("/") + name + "/";
+    queue.pool = PoolName("pool");
+    queue.priority = priority;
+    queue.maxAttempts = 4;
+    queue.stretchPermille = 2200;
+    queue.targetLatency = 1s;
+    queue.callTimeout = 3s;
+    queue.permission = { .isNeeded = true, .perCall = perCall, .perWorker = perWorker, .validity = 2500ms };
+    return queue;
+}
+
+class Bench {
+public:
+    Bench(size_t workers, double load)
+        : m_load(load)
+        , m_scheduler(m_settings, m_state, m_observer)
+    {
+        QueueTable table;
+        table.version = 1;
+        table.queues = { makeQueue("lookup", 0, 7ms, 110us), makeQueue("gang", 1, 410ms, 5800us),
+            makeQueue("batch", 2, 66ms, 940us) };
+        table.pools = { { .name = PoolName("pool") } };
+        m_state.apply(1, encodeCommands({ ReplaceTable { table } }));
+        m_scheduler.becomeLeader(1, m_now, calendar);
+        for (size_t i = 0; i < workers; ++i) {
+            Worker worker;
+            worker.profile.life = { .worker = WorkerId("w" + std::to_string(i)),
+                .bornMs = 1,
+                .address = "10.0.0.1:" + std::to_string(i + 1) };
+            worker.profile.pool = PoolName("pool");
+            worker.profile.capacity
+                = { .millicores = Millicores(16000), .mebibytes = Mebibytes(32768), .accelerators = {} };
+            m_workers.emplace(worker.profile.life, worker);
+        }
+    }
+
+    void run(int seconds)
+    {
+        constexpr Duration tick = 2ms;
+        for (Duration passed { 0 }; passed < seconds * Duration(1s); passed += tick) {
+            m_now += tick;
+            if (passed % Duration(1500ms) < tick)
+                report();
+            submit(tick);
+            endRuns();
+            const auto began = std::chrono::steady_clock::now();
+            auto output = m_scheduler.advance(m_now, calendar + m_now.time_since_epoch());
+            auto commands = std::exchange(m_submissions, {});
+            commands.insert(commands.end(), output.commands.begin(), output.commands.end());
+            if (!commands.empty()) {
+                m_state.apply(1, encodeCommands(commands));
+                m_scheduler.recorded(output.batch, m_now);
+            }
+            m_spent += std::chrono::steady_clock::now() - began;
+            answer(output);
+        }
+        const double spent = std::chrono::duration<double>(m_spent).count();
+        std::printf("workers %zu, load %.2f: %.3f of a processor, %.0f starts/s, %zu steps wait\n", m_workers.size(),
+            m_load, spent / seconds, static_cast<double>(m_starts) / seconds, m_scheduler.readySteps());
+    }
+
+private:
+    void report()
+    {
+        ++m_sequence;
+        for (const auto& [life, worker] : m_workers)
+            m_scheduler.workerReported({ .profile = worker.profile,
+                                           .sequence = m_sequence,
+                                           .clock = m_now.time_since_epoch() / 1ms,
+                                           .remaining = {} },
+                m_now);
+    }
+
+    void submit(Duration tick)
+    {
+        struct Kind {
+            const char* queue;
+            double perSecond;
+            uint32_t count;
+            int64_t millicores;
+            Duration runTime;
+            bool isGang;
+        };
+        // The mix of the users' grown deployment for 350 workers.
+        constexpr std::array kinds { Kind { "lookup", 137, 3, 2500, 640ms, false },
+            Kind { "gang", 4.7, 20, 4500, 5s, true }, Kind { "batch", 9.84, 25, 1700, 2700ms, false } };
+        for (const auto& kind : kinds) {
+            const double expected = kind.perSecond * m_load * static_cast<double>(m_workers.size()) / 350
+                * static_cast<double>(tick.count()) / 1e6;
+            if (static_cast<double>(m_random() % 1'000'000) >= expected * 1e6)
+                continue;
+            AcceptWorkflow accept;
+            char id[17];
+            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++m_nextId));
+            accept.id = WorkflowId(id);
+            accept.queue = QueueName(kind.queue);
+            accept.pool = PoolName("pool");
+            accept.maxAttempts = 4;
+            accept.spec.command = std::string(2400, 'x');
+            accept.acceptedMs = (calendar + m_now.time_since_epoch()).time_since_epoch() / 1ms;
+            StepSpec step;
+            step.count = kind.count;
+            step.perTask
+                = { .millicores = Millicores(kind.millicores), .mebibytes = Mebibytes(1400), .accelerators = {} };
+            step.estimate = kind.runTime;
+            step.isGang = kind.isGang;
+            step.isCheckpointing = !kind.isGang;
+            accept.spec.steps = { step };
+            m_submissions.emplace_back(std::move(accept));
+        }
+    }
+
+    void endRuns()
+    {
+        for (auto& [life, worker] : m_workers) {
+            std::erase_if(worker.runs, [&](const auto& item) {
+                if (item.second.endsAt > m_now)
+                    return false;
+                worker.ended.push_back(
+                    { .number = ++worker.lastEnd, .run = item.second.run, .end = RunEnd::Done, .checkpoint = {} });
+                return true;
+            });
+            if (worker.look && (!worker.ended.empty() || m_now >= worker.lookUntil))
+                answerLook(worker);
+        }
+    }
+
+    void answerLook(Worker& worker)
+    {
+        const LookOrder order = *std::exchange(worker.look, std::nullopt);
+        LookAnswer answer { .clock = m_now.time_since_epoch() / 1ms, .bornMs = 1, .running = {}, .ended = worker.ended };
+        for (const auto& [task, run] : worker.runs)
+            answer.running.push_back({ .run = run.run, .checkpoint = {} });
+        const auto began = std::chrono::steady_clock::now();
+        m_scheduler.lookAnswered(order, answer, m_now - 1ms, m_now);
+        m_spent += std::chrono::steady_clock::now() - began;
+    }
+
+    void answer(WorkflowScheduler::Output& output)
+    {
+        const auto spent = [&](auto call) {
+            const auto began = std::chrono::steady_clock::now();
+            call();
+            m_spent += std::chrono::steady_clock::now() - began;
+        };
+        for (const auto& order : output.orders.starts) {
+            ++m_starts;
+            const Duration runTime(300'000 + static_cast<int64_t>(m_random() % 2'000'000));
+            m_workers.at(order.life).runs[order.run.task] = { .run = order.run, .endsAt = m_now + runTime };
+            spent([&] {
+                m_scheduler.startAnswered(order,
+                    { .verdict = OrderVerdict::Done, .clock = m_now.time_since_epoch() / 1ms, .bornMs = 1 }, m_now);
+            });
+        }
+        for (const auto& order : output.orders.stops) {
+            Worker& worker = m_workers.at(order.life);
+            if (worker.runs.erase(order.run.task))
+                worker.ended.push_back(
+                    { .number = ++worker.lastEnd, .run = order.run, .end = RunEnd::Stopped, .checkpoint = {} });
+            spent([&] {
+                m_scheduler.stopAnswered(order,
+                    { .verdict = OrderVerdict::Done, .clock = m_now.time_since_epoch() / 1ms, .bornMs = 1 }, m_now);
+            });
+        }
+        for (const auto& order : output.orders.looks) {
+            Worker& worker = m_workers.at(order.life);
+            std::erase_if(worker.ended, [&](const ListedEnd& end) { return end.number <= order.recordedEnds; });
+            worker.look = order;
+            worker.lookUntil = m_now + order.wait;
+        }
+        for (const auto& request : output.permits) {
+            PermitAnswer answer;
+            for (const auto& worker : request.workers) {
+                if (std::hash<std::string>()(worker.value() + describe(request.step)) % 2)
+                    answer.granted.push_back({ .worker = worker, .ticket = "ticket" });
+            }
+            spent([&] { m_scheduler.permitAnswered(request, answer, m_now); });
+        }
+    }
+
+    SchedulerSettings m_settings;
+    SilentObserver m_observer;
+    double m_load;
+    TimePoint m_now { 1000s };
+    WorkflowState m_state;
+    WorkflowScheduler m_scheduler;
+    std::map<WorkerLife, Worker> m_workers;
+    std::vector<WorkflowCommand> m_submissions;
+    std::mt19937_64 m_random { 1 };
+    uint64_t m_sequence { 0 };
+    uint64_t m_nextId { 0 };
+    size_t m_starts { 0 };
+    std::chrono::steady_clock::duration m_spent { 0 };
+};
+
+} // namespace
+
+} // namespace hickoryknot::workflow
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("bench_workflow", "Processor time of the leader's decisions");
+    options.add_options()("workers", "Workers", cxxopts::value<size_t>()->default_value("350"))(
+        "load", "Part of the users' grown load", cxxopts::value<double>()->default_value("0.8"))(
+        "seconds", "Simulated seconds", cxxopts::value<int>()->default_value("10"));
+    const auto flags = options.parse(argc, argv);
+    hickoryknot::workflow::Bench(flags["workers"].as<size_t>(), flags["load"].as<double>())
+        .run(flags["seconds"].as<int>());
+}
--- a/src/workflow/WorkerBoard.cpp
+++ b/src/workflow/WorkerBoard.cpp
@@ -23,7 +23,19 @@
     return size;
 }
 
-void WorkerBoard::clear() { m_views.clear(); }
+void WorkerBoard::clear()
+{
+    m_views.clear();
+    m_latestOfWorker.clear();
+    m_latestAtAddress.clear();
+}
+
+void WorkerBoard::noteBirth(const WorkerLife& life)
+{
+    const auto raise = [&](int64_t& latest) { latest = std::max(latest, life.bornMs); };
+    raise(m_latestOfWorker.try_emplace(life.worker, life.bornMs).first->second);
+    raise(m_latestAtAddress.try_emplace(life.address, life.bornMs).first->second);
+}
 
 WorkerBoard::News WorkerBoard::reported(const WorkerReport& report, TimePoint now)
 {
@@ -37,6 +49,7 @@
     const bool isChanged = isNew || !(view.profile == report.profile);
     view.profile = report.profile;
     view.isProfileKnown = true;
+    noteBirth(life);
     view.sequence = report.sequence;
     view.heardAt = now;
     if (report.clock)
@@ -49,6 +62,7 @@
     WorkerView& view = m_views[profile.life];
     view.profile = profile;
     view.isProfileKnown = true;
+    noteBirth(profile.life);
     // Until it answers or reports, it counts as heard now: most workers of the record are still there.
     view.heardAt = now;
     return view;
@@ -88,11 +102,10 @@
 
 bool WorkerBoard::isSucceeded(const WorkerLife& life) const
 {
-    return std::any_of(m_views.begin(), m_views.end(), [&](const auto& item) {
-        const WorkerLife& other = item.first;
-        const bool isSamePlace = other.worker == life.worker || other.address == life.address;
-        return item.second.isProfileKnown && isSamePlace && other.bornMs > life.bornMs;
-    });
+    const auto ofWorker = m_latestOfWorker.find(life.worker);
+    const auto atAddress = m_latestAtAddress.find(life.address);
+    return (ofWorker != m_latestOfWorker.end() && ofWorker->second > life.bornMs)
+        || (atAddress != m_latestAtAddress.end() && atAddress->second > life.bornMs);
 }
 
 bool WorkerBoard::isUsable(const WorkerView& view, TimePoint now) const
--- a/src/workflow/WorkerBoard.h
+++ b/src/workflow/WorkerBoard.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <map>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "workflow/RunEnd.h"
@@ -65,8 +67,13 @@
     Millicores capacity(const PoolName&, TimePoint now) const;
 
 private:
+    void noteBirth(const WorkerLife&);
+
     const SchedulerSettings& m_settings;
     std::map<WorkerLife, WorkerView> m_views;
+    /// Latest birth of a life that has reported itself, by id and by address.
+    std::unordered_map<WorkerId, int64_t> m_latestOfWorker;
+    std::unordered_map<std::string, int64_t> m_latestAtAddress;
 };
 
 /// Resources that a task takes from a worker's capacity.
