--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,15 @@
 	@mkdir -p $(BUILD_DIR)/bench-log && $(BUILD_DIR)/bench/bench_log --folder $(BUILD_DIR)/bench-log
 	@$(BUILD_DIR)/bench/bench_net
 	@$(BUILD_DIR)/bench/bench_routing
+	@$(BUILD_DIR)/bench/bench_workflow
 	@$(BUILD_DIR)/bench/bench_placement --commit $$(git rev-parse --short HEAD)
 
-# Bounded: 100,000 schedules of the replicated log and 2,000 of the schedulers, with printed first seeds.
+# Bounded: 100,000 schedules of the replicated log on all processors, 2,000 of the schedulers and 400 of the workflows, with
+# printed first seeds.
 soak: build
 	@echo "first seed 1"; HICKORYKNOT_SCHEDULE_SEED=1 HICKORYKNOT_SCHEDULES=100000 $(BUILD_DIR)/tests/test_consensus
-	@SEEDS=2000 $(BUILD_DIR)/tests/test_scheduler
+	@SEEDS=2000 FIRST_SEED=1 $(BUILD_DIR)/tests/test_scheduler
+	@SEEDS=400 FIRST_SEED=1 $(BUILD_DIR)/tests/test_workflow
 
 lint: build
 	@BUILD_DIR=$(BUILD_DIR) .ci/lint
--- a/bench/workflow/SchedulerBench.cpp
+++ b/bench/workflow/SchedulerBench.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -71,9 +72,9 @@
         m_scheduler.becomeLeader(1, m_now, calendar);
         for (size_t i = 0; i < workers; ++i) {
             Worker worker;
-            worker.profile.life = { .worker = WorkerId("w" + std::to_string(i)),
-                .bornMs = 1,
-                .address = "10.0.0.1:" + std::to_string(i + 1) };
+            worker.profile.life = {
+                .worker = WorkerId("w" + std::to_string(i)), .bornMs = 1, .address = "10.0.0.1:" + std::to_string(i + 1)
+            };
             worker.profile.pool = PoolName("pool");
             worker.profile.capacity
                 = { .millicores = Millicores(16000), .mebibytes = Mebibytes(32768), .accelerators = {} };
@@ -159,12 +160,13 @@
 
     void endRuns()
     {
-        for (auto& [life, worker] : m_workers) {
-            std::erase_if(worker.runs, [&](const auto& item) {
-                if (item.second.endsAt > m_now)
+        for (auto& item : m_workers) {
+            Worker& worker = item.second;
+            std::erase_if(worker.runs, [&](const auto& entry) {
+                if (entry.second.endsAt > m_now)
                     return false;
                 worker.ended.push_back(
-                    { .number = ++worker.lastEnd, .run = item.second.run, .end = RunEnd::Done, .checkpoint = {} });
+                    { .number = ++worker.lastEnd, .run = entry.second.run, .end = RunEnd::Done, .checkpoint = {} });
                 return true;
             });
             if (worker.look && (!worker.ended.empty() || m_now >= worker.lookUntil))
@@ -175,7 +177,9 @@
     void answerLook(Worker& worker)
     {
         const LookOrder order = *std::exchange(worker.look, std::nullopt);
-        LookAnswer answer { .clock = m_now.time_since_epoch() / 1ms, .bornMs = 1, .running = {}, .ended = worker.ended };
+        LookAnswer answer {
+            .clock = m_now.time_since_epoch() / 1ms, .bornMs = 1, .running = {}, .ended = worker.ended
+        };
         for (const auto& [task, run] : worker.runs)
             answer.running.push_back({ .run = run.run, .checkpoint = {} });
         const auto began = std::chrono::steady_clock::now();
--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -37,10 +37,7 @@
     visit(x.verdict, x.message, x.retryAfter, x.phase, x.hasStarted, x.isQueue, x.pending, x.tableVersion, x.text,
         x.leader, x.keepers);
 }
-template <typename V> void visitFields(V& visit, SameAs<PermitCall> auto& x)
-{
-    visit(x.step, x.workers, x.timeLimit);
-}
+template <typename V> void visitFields(V& visit, SameAs<PermitCall> auto& x) { visit(x.step, x.workers, x.timeLimit); }
 
 void visitFields(FieldWriter& visit, const ReportCall& x)
 {
@@ -63,8 +60,8 @@
 
 const char* controlVerdictName(ControlVerdict verdict)
 {
-    constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady",
-        "notLeader", "uncertain" };
+    constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady", "notLeader",
+        "uncertain" };
     return names[static_cast<size_t>(verdict)];
 }
 
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -134,7 +134,8 @@
 void DecisionLog::cancelled(const WorkflowId& id)
 {
     m_metrics.add(m_cancelled);
-    write(EventLevel::Info, Event::JobCancelled, "a workflow is cancelled by its caller", { { "workflow", id.value() } });
+    write(
+        EventLevel::Info, Event::JobCancelled, "a workflow is cancelled by its caller", { { "workflow", id.value() } });
 }
 
 void DecisionLog::permissionAnswered(const StepRef& step, size_t asked, size_t granted, Duration took)
--- a/src/control/HostAddress.h
+++ b/src/control/HostAddress.h
@@ -6,8 +6,8 @@
 
 namespace hickoryknot {
 
-/// Hosts of a fleet are named by the address on which they take calls of other hosts, so that a host at a new address is
-/// a new host and no directory of names is needed.
+/// Hosts of a fleet are named by the address on which they take calls of other hosts, so that a host at a new address
+/// is a new host and no directory of names is needed.
 HostId hostIdOf(const Endpoint&);
 
 /// InvalidArgument: the id is no address.
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -49,8 +49,7 @@
 
 void LeaderClient::call(ControlCall call, Duration timeLimit, Completion completion)
 {
-    auto pending
-        = std::make_shared<Pending>(m_io, std::move(call), steadyNow() + timeLimit, std::move(completion));
+    auto pending = std::make_shared<Pending>(m_io, std::move(call), steadyNow() + timeLimit, std::move(completion));
     boost::asio::post(m_io, [this, alive = m_isAlive, pending] {
         if (*alive)
             attempt(pending);
@@ -116,9 +115,7 @@
         return retry(pending, left);
     if (pending->body.empty())
         pending->body = encodeControlCall(pending->call);
-    HttpRequest request {
-        .method = "POST", .target = control_paths::call, .headers = {}, .body = pending->body
-    };
+    HttpRequest request { .method = "POST", .target = control_paths::call, .headers = {}, .body = pending->body };
     m_client.send(*endpoint, std::move(request), std::min(left, m_settings.attemptLimit),
         [this, alive = m_isAlive, pending, host](HttpClientResult result) {
             if (*alive)
--- a/src/control/LeaderClient.h
+++ b/src/control/LeaderClient.h
@@ -24,8 +24,8 @@
     Duration roundPause { 40ms };
 };
 
-/// Hands calls to whichever host leads. Follows the leader across elections by asking the hosts that keep state. For one
-/// io_context's thread.
+/// Hands calls to whichever host leads. Follows the leader across elections by asking the hosts that keep state. For
+/// one io_context's thread.
 class LeaderClient {
 public:
     using Completion = std::function<void(Expected<ControlReply>)>;
--- a/src/control/PermissionService.h
+++ b/src/control/PermissionService.h
@@ -11,8 +11,8 @@
 public:
     virtual ~PermissionService() = default;
 
-    /// Overloaded: too many calls wait there. Any other error: no answer. The completion runs once, later, on the thread
-    /// of the caller.
+    /// Overloaded: too many calls wait there. Any other error: no answer. The completion runs once, later, on the
+    /// thread of the caller.
     using Completion = std::function<void(Expected<workflow::PermitAnswer>)>;
     virtual void ask(const PermitCall&, Completion) = 0;
 };
--- a/src/control/PermitDispatcher.cpp
+++ b/src/control/PermitDispatcher.cpp
@@ -66,12 +66,12 @@
     helper.freeAt = std::max(helper.freeAt, now) + request.cost;
     const Duration limit = helper.freeAt - now + callMargin;
     PermitCall call { .step = request.step, .workers = request.workers, .timeLimit = limit };
-    auto done = [this, alive = m_isAlive, host, completion = std::move(completion)](
-                    Expected<workflow::PermitAnswer> answer) {
-        if (*alive)
-            answered(host, answer, steadyNow());
-        completion(std::move(answer));
-    };
+    auto done
+        = [this, alive = m_isAlive, host, completion = std::move(completion)](Expected<workflow::PermitAnswer> answer) {
+              if (*alive)
+                  answered(host, answer, steadyNow());
+              completion(std::move(answer));
+          };
     if (host == m_self) {
         if (!m_own)
             return done(makeError(ErrorCode::Unavailable, "no host can call the permission service"));
@@ -88,8 +88,8 @@
         if (!result.response)
             return done(tl::unexpected(result.response.error()));
         if (result.response->status != 200)
-            return done(makeError(ErrorCode::Unavailable,
-                "the helper answered " + std::to_string(result.response->status)));
+            return done(
+                makeError(ErrorCode::Unavailable, "the helper answered " + std::to_string(result.response->status)));
         done(decodePermitAnswer(result.response->body));
     });
 }
--- a/src/control/PermitDispatcher.h
+++ b/src/control/PermitDispatcher.h
@@ -12,8 +12,8 @@
 
 namespace hickoryknot {
 
-/// Spreads calls for permission over the hosts of the fleet, since the service serves one call at a time for each calling
-/// host. Each call goes to the host that will be free first. For the leader's io_context thread.
+/// Spreads calls for permission over the hosts of the fleet, since the service serves one call at a time for each
+/// calling host. Each call goes to the host that will be free first. For the leader's io_context thread.
 class PermitDispatcher {
 public:
     using Completion = std::function<void(Expected<workflow::PermitAnswer>)>;
--- a/src/control/WorkerLink.h
+++ b/src/control/WorkerLink.h
@@ -7,8 +7,8 @@
 
 namespace hickoryknot {
 
-/// Carries orders to workers. Each completion runs once, later, on the thread of the caller; every call has a time limit
-/// of its own.
+/// Carries orders to workers. Each completion runs once, later, on the thread of the caller; every call has a time
+/// limit of its own.
 class WorkerLink {
 public:
     virtual ~WorkerLink() = default;
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -58,9 +58,7 @@
     , m_settings(settings)
     , m_workers(workers)
     , m_logClient(io,
-          { .maxConnectionsPerEndpoint = maxLogMessagesInFlight,
-              .maxWaitingPerEndpoint = 1,
-              .connectTimeout = 250ms })
+          { .maxConnectionsPerEndpoint = maxLogMessagesInFlight, .maxWaitingPerEndpoint = 1, .connectTimeout = 250ms })
     , m_permits(io, settings.self, permission)
     , m_scheduler(settings.scheduler, m_state, m_log)
     , m_storage({ .name = "storage", .ringCapacity = 64, .period = 1s }, [] {})
@@ -106,7 +104,8 @@
         .cell = "fleet",
         .folder = m_settings.dataFolder + "/log" };
     GroupRunner::Links links {
-        .send = [this](const HostId& to, const std::string&, std::string bytes) { sendLogMessage(to, std::move(bytes)); },
+        .send
+        = [this](const HostId& to, const std::string&, std::string bytes) { sendLogMessage(to, std::move(bytes)); },
         .postToControl =
             [this, alive = m_isAlive](std::function<void()> work) {
                 boost::asio::post(m_io, [alive, work = std::move(work)] {
@@ -114,8 +113,8 @@
                         work();
                 });
             },
-        .leadershipChanged = [this](bool isLeader, uint64_t term,
-                                 TimePoint at) { leadershipChanged(isLeader, term, at); },
+        .leadershipChanged
+        = [this](bool isLeader, uint64_t term, TimePoint at) { leadershipChanged(isLeader, term, at); },
         .storage = m_storage,
     };
     auto runner = GroupRunner::open(settings, m_state, std::move(links), now);
@@ -132,10 +131,7 @@
     return m_scheduler.isLeader() && m_runner->group().hasReadableLeadership(steadyNow());
 }
 
-void WorkflowHost::logMessage(std::string_view bytes)
-{
-    m_runner->step(bytes, steadyNow());
-}
+void WorkflowHost::logMessage(std::string_view bytes) { m_runner->step(bytes, steadyNow()); }
 
 void WorkflowHost::sendLogMessage(const HostId& to, std::string bytes)
 {
@@ -227,12 +223,12 @@
     commands.insert(commands.end(), std::make_move_iterator(output.commands.begin()),
         std::make_move_iterator(output.commands.end()));
     if (!commands.empty())
-        propose(output.batch, std::move(commands));
+        propose(output.batch, commands);
     send(output.orders);
     askPermits(output.permits);
 }
 
-void WorkflowHost::propose(uint64_t batch, std::vector<WorkflowCommand> commands)
+void WorkflowHost::propose(uint64_t batch, const std::vector<WorkflowCommand>& commands)
 {
     std::vector<std::pair<WorkflowId, QueueName>> accepting;
     for (const auto& command : commands) {
@@ -257,8 +253,8 @@
                 if (result)
                     waiter.respond(waiter.reply);
                 else
-                    waiter.respond(makeReply(isUndone ? ControlVerdict::NotLeader : ControlVerdict::Uncertain,
-                        result.error().message));
+                    waiter.respond(makeReply(
+                        isUndone ? ControlVerdict::NotLeader : ControlVerdict::Uncertain, result.error().message));
             }
             if (!result)
                 return;
@@ -305,10 +301,9 @@
             if (!*alive)
                 return;
             if (answer.verdict != OrderVerdict::Done)
-                EventLog::write(EventLevel::Warning, Event::OrderNotTaken,
-                    "a worker did not take a start", { { "task", describe(order.run.task) },
-                        { "run", std::to_string(order.run.run) }, { "worker", order.life.worker.value() },
-                        { "answer", orderVerdictName(answer.verdict) } });
+                EventLog::write(EventLevel::Warning, Event::OrderNotTaken, "a worker did not take a start",
+                    { { "task", describe(order.run.task) }, { "run", std::to_string(order.run.run) },
+                        { "worker", order.life.worker.value() }, { "answer", orderVerdictName(answer.verdict) } });
             m_scheduler.startAnswered(order, answer, steadyNow());
             schedulePump(gatherTime);
         });
@@ -319,8 +314,8 @@
 {
     for (const auto& request : requests) {
         const TimePoint askedAt = steadyNow();
-        m_permits.ask(request, askedAt,
-            [this, alive = m_isAlive, request, askedAt](const Expected<PermitAnswer>& answer) {
+        m_permits.ask(
+            request, askedAt, [this, alive = m_isAlive, request, askedAt](const Expected<PermitAnswer>& answer) {
                 if (!*alive)
                     return;
                 if (answer)
--- a/src/control/WorkflowHost.h
+++ b/src/control/WorkflowHost.h
@@ -80,7 +80,7 @@
     void record(workflow::WorkflowCommand, const Respond&, ControlReply);
     void schedulePump(Duration delay);
     void pump();
-    void propose(uint64_t batch, std::vector<workflow::WorkflowCommand>);
+    void propose(uint64_t batch, const std::vector<workflow::WorkflowCommand>&);
     void send(workflow::RunDesk::Orders&);
     void askPermits(const std::vector<workflow::PermitRequest>&);
     void leadershipChanged(bool isLeader, uint64_t term, TimePoint now);
@@ -112,7 +112,6 @@
     TimePoint m_nextMemberChange;
     TimePoint m_nextAdvance;
     uint64_t m_sequence { 0 };
-    uint64_t m_returns { 0 };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/src/scheduler/WorkerDesk.cpp
+++ b/src/scheduler/WorkerDesk.cpp
@@ -386,8 +386,8 @@
 void WorkerDesk::checkExpired(uint64_t epoch, AssignmentView& view, TimePoint now)
 {
     if (view.isRepeatable) {
-        // Whether or not the start command was lost, the same assignment is never sent again: a successor may have recorded
-        // its end by now, and the worker would start it beside the successor's.
+        // Whether or not the start command was lost, the same assignment is never sent again: a successor may have
+        // recorded its end by now, and the worker would start it beside the successor's.
         end(epoch, view, TaskResult::Lost, 0, Duration::zero());
         return;
     }
--- a/src/scheduler/ZoneScheduler.cpp
+++ b/src/scheduler/ZoneScheduler.cpp
@@ -135,8 +135,7 @@
 uint64_t ZoneScheduler::cutOffVersionInForce(TimePoint now) const
 {
     const auto& s = *m_impl;
-    const TimePoint olderLeasesEnd
-        = LeaseBound(s.settings.leases).expiry(s.cutOffSeenAt, s.settings.leases.task);
+    const TimePoint olderLeasesEnd = LeaseBound(s.settings.leases).expiry(s.cutOffSeenAt, s.settings.leases.task);
     const bool isInForce = s.isLeader && s.seenCutOffVersion == s.state.cutOffVersion() && now >= olderLeasesEnd;
     return isInForce ? s.seenCutOffVersion : 0;
 }
--- a/src/workflow/AdmissionGate.cpp
+++ b/src/workflow/AdmissionGate.cpp
@@ -28,13 +28,12 @@
     const Queue& queue, const WorkflowSpec& spec, const Load& load, Millicores capacity, double spread) const
 {
     // Work at set times and long-running work waits for its turn, however long that takes.
-    const bool isLasting = std::any_of(
-        spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.isLongRunning; });
+    const bool isLasting
+        = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.isLongRunning; });
     if (spec.isTimed() || isLasting || capacity.count() <= 0)
         return std::nullopt;
     const Duration chain = longestChain(spec);
-    const Duration slack
-        = chain * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency - chain;
+    const Duration slack = chain * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency - chain;
     const double usable = static_cast<double>(capacity.count()) * m_settings.usableCapacity;
     // What is ahead of it needs this long on all processors together.
     const Duration wait(static_cast<int64_t>(load.workUpTo(queue.priority) / usable));
--- a/src/workflow/AdmissionGate.h
+++ b/src/workflow/AdmissionGate.h
@@ -12,8 +12,8 @@
 namespace hickoryknot::workflow {
 
 struct AdmissionSettings {
-    /// Part of the time a workflow may lose by waiting that the expected wait may use up. Below 1, because estimates are
-    /// off and more urgent work may still come.
+    /// Part of the time a workflow may lose by waiting that the expected wait may use up. Below 1, because estimates
+    /// are off and more urgent work may still come.
     double usableSlack { 0.9 };
     /// Shortest and longest time after which a refused caller is asked to return.
     Duration shortestReturn { 1s };
@@ -41,8 +41,8 @@
         std::map<uint32_t, double> byPriority;
     };
 
-    /// Empty: let it in. Otherwise the time after which the caller should return. `spread` in 0..1 varies that time from
-    /// caller to caller, so that they do not return together.
+    /// Empty: let it in. Otherwise the time after which the caller should return. `spread` in 0..1 varies that time
+    /// from caller to caller, so that they do not return together.
     std::optional<Duration> refusal(
         const Queue&, const WorkflowSpec&, const Load&, Millicores capacity, double spread) const;
 
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -88,8 +88,7 @@
 
 bool Planner::isPossible(const Slot& slot, const ReadyStep& step) const
 {
-    const bool isAvoided
-        = m_now - step.readySince < avoidFor && step.avoided.contains(slot.view->life().worker);
+    const bool isAvoided = m_now - step.readySince < avoidFor && step.avoided.contains(slot.view->life().worker);
     return !isAvoided && WorkerBoard::isSuitable(*slot.view, step.queue.pool, *step.spec)
         && !m_permits.isDenied(step.ref, slot.view->life().worker);
 }
@@ -121,12 +120,12 @@
     slot.planned += occupied(*step.spec);
     ++slot.plannedTasks[step.ref];
     const std::string* permit = m_permits.ticket(step.ref, slot.view->life(), now);
-    decisions.placements.push_back({ .run = { .task = { .step = step.ref, .index = step.tasks[task].index },
-                                         .run = step.tasks[task].nextRun },
-        .life = slot.view->life(),
-        .spec = step.spec,
-        .priority = step.queue.priority,
-        .permit = permit ? *permit : std::string() });
+    decisions.placements.push_back(
+        { .run = { .task = { .step = step.ref, .index = step.tasks[task].index }, .run = step.tasks[task].nextRun },
+            .life = slot.view->life(),
+            .spec = step.spec,
+            .priority = step.queue.priority,
+            .permit = permit ? *permit : std::string() });
 }
 
 void Planner::planTasks(const ReadyStep& step, Decisions& decisions, TimePoint now)
@@ -225,9 +224,8 @@
         return;
     }
     // Workers with permissions first, then those with the most room.
-    const auto hasTicket = [&](const Slot* slot) {
-        return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr;
-    };
+    const auto hasTicket
+        = [&](const Slot* slot) { return m_permits.ticket(step.ref, slot->view->life(), now) != nullptr; };
     std::sort(roomy.begin(), roomy.end(), [&](const Slot* a, const Slot* b) {
         if (hasTicket(a) != hasTicket(b))
             return hasTicket(a);
@@ -378,6 +376,7 @@
     });
     if (!areAllValid && m_permits.mayAsk(step.ref, now)) {
         std::vector<Slot*> allowed;
+        allowed.reserve(options.size());
         for (const auto& option : options)
             allowed.push_back(option.slot);
         ask(step, allowed, decisions, now);
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -14,10 +14,10 @@
 struct RunView;
 
 /// Decides which ready tasks start where. Serves the heavy days, on which more work is ready than fits: urgent queues
-/// first, within a queue's priority those whose time runs out first, and work that can no longer end in time last. Small
-/// tasks are packed onto the fullest workers, so that large tasks and gangs find room. A gang that does not fit takes
-/// the place of tasks of lower priority that can go on from a checkpoint, and keeps lower priorities off the workers that
-/// it waits for.
+/// first, within a queue's priority those whose time runs out first, and work that can no longer end in time last.
+/// Small tasks are packed onto the fullest workers, so that large tasks and gangs find room. A gang that does not fit
+/// takes the place of tasks of lower priority that can go on from a checkpoint, and keeps lower priorities off the
+/// workers that it waits for.
 class Planner {
 public:
     Planner(WorkerBoard& board, PermitBook& permits, const RunDesk& desk)
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -8,10 +8,7 @@
 
 namespace {
 
-tl::unexpected<Error> invalid(std::string message)
-{
-    return makeError(ErrorCode::InvalidArgument, std::move(message));
-}
+tl::unexpected<Error> invalid(std::string message) { return makeError(ErrorCode::InvalidArgument, std::move(message)); }
 
 } // namespace
 
--- a/src/workflow/RunDesk.cpp
+++ b/src/workflow/RunDesk.cpp
@@ -279,8 +279,8 @@
         else if (answer.verdict != OrderVerdict::NotSent && !isOtherLife)
             noteAnswer(*view, answer.clock, now);
     }
-    const bool isConfirmed = !isOtherLife
-        && (answer.verdict == OrderVerdict::Done || answer.verdict == OrderVerdict::Outdated);
+    const bool isConfirmed
+        = !isOtherLife && (answer.verdict == OrderVerdict::Done || answer.verdict == OrderVerdict::Outdated);
     const auto stray = m_strays.find(order.run);
     if (stray != m_strays.end() && stray->second.life == order.life) {
         stray->second.isInFlight = false;
@@ -300,8 +300,7 @@
     m_unsettled.erase(run.run);
 }
 
-void RunDesk::lookAnswered(
-    const LookOrder& order, const Expected<LookAnswer>& answer, TimePoint sentAt, TimePoint now)
+void RunDesk::lookAnswered(const LookOrder& order, const Expected<LookAnswer>& answer, TimePoint sentAt, TimePoint now)
 {
     WorkerView* view = m_board.find(order.life);
     if (!view)
@@ -427,14 +426,14 @@
 void RunDesk::advanceLife(const WorkerLife& life, WorkerView& view, TimePoint now, Orders& orders)
 {
     const bool hasRuns = m_runsOfLife.contains(life);
-    const bool isOver = (view.leftAt && now - *view.leftAt > leavingTime && !view.isLookInFlight)
-        || m_board.isSucceeded(life);
+    const bool isOver
+        = (view.leftAt && now - *view.leftAt > leavingTime && !view.isLookInFlight) || m_board.isSucceeded(life);
     if (hasRuns)
         loseEnded(life, view, isOver, now);
     if (isOver || view.isLookInFlight || now < view.nextLookAt)
         return;
-    const bool hasStrays = std::any_of(
-        m_strays.begin(), m_strays.end(), [&](const auto& stray) { return stray.second.life == life; });
+    const bool hasStrays
+        = std::any_of(m_strays.begin(), m_strays.end(), [&](const auto& stray) { return stray.second.life == life; });
     const bool isUnfenced = view.isProfileKnown && !view.isFenced && !view.clock.isKnown();
     const bool isOwed = view.confirmedEnds < view.recordedEnds;
     if (!hasRuns && !hasStrays && !isUnfenced && !isOwed)
--- a/src/workflow/RunDesk.h
+++ b/src/workflow/RunDesk.h
@@ -15,9 +15,9 @@
 
 class WorkflowState;
 
-/// Drives recorded runs on their workers: sends starts and stops until they are answered, looks at workers, renews their
-/// leases, and finds out which runs have ended. A run keeps its room until its worker says that it has ended, a stop of
-/// that very run was confirmed, its worker's life has ended, or its lease must have run out. Soft state of one
+/// Drives recorded runs on their workers: sends starts and stops until they are answered, looks at workers, renews
+/// their leases, and finds out which runs have ended. A run keeps its room until its worker says that it has ended, a
+/// stop of that very run was confirmed, its worker's life has ended, or its lease must have run out. Soft state of one
 /// leadership.
 class RunDesk {
 public:
--- a/src/workflow/RunView.h
+++ b/src/workflow/RunView.h
@@ -33,8 +33,8 @@
     bool isStopWanted { false };
     std::string permit;
     TimePoint nextTry;
-    /// When the answer to a start or stop, or a list with the run, came in. Looks that were sent later must list the run,
-    /// if it is there; earlier ones may have overtaken the order on their way to the worker.
+    /// When the answer to a start or stop, or a list with the run, came in. Looks that were sent later must list the
+    /// run, if it is there; earlier ones may have overtaken the order on their way to the worker.
     std::optional<TimePoint> presentSince;
     /// Latest progress that the worker has listed.
     std::string checkpoint;
--- a/src/workflow/SchedulerObserver.h
+++ b/src/workflow/SchedulerObserver.h
@@ -14,8 +14,8 @@
 public:
     virtual ~SchedulerObserver() = default;
 
-    /// Tasks of a step are being recorded on workers; `waited` since the step was ready, `slack` until it would have been
-    /// too late.
+    /// Tasks of a step are being recorded on workers; `waited` since the step was ready, `slack` until it would have
+    /// been too late.
     virtual void tasksPlaced(const StepRef&, size_t tasks, size_t workers, Duration waited, Duration slack) = 0;
     /// A run that was not done is told to stop, to make room or because it is not wanted any more.
     virtual void stopRequested(const RunRef&, const char* reason) = 0;
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -43,10 +43,7 @@
 {
     visit(x.version, x.queues, x.pools, x.document);
 }
-template <typename V> void visitFields(V& visit, SameAs<WorkerLife> auto& x)
-{
-    visit(x.worker, x.bornMs, x.address);
-}
+template <typename V> void visitFields(V& visit, SameAs<WorkerLife> auto& x) { visit(x.worker, x.bornMs, x.address); }
 template <typename V> void visitFields(V& visit, SameAs<WorkerProfile> auto& x)
 {
     visit(x.life, x.pool, x.zone, x.rack, x.labels, x.capacity, x.isDraining);
@@ -59,7 +56,10 @@
 {
     visit(x.tasks, x.open, x.placed, x.gangFailures, x.lastFailedRun);
 }
-template <typename V> void visitFields(V& visit, SameAs<OccurrenceRecord> auto& x) { visit(x.number, x.isFinished, x.steps); }
+template <typename V> void visitFields(V& visit, SameAs<OccurrenceRecord> auto& x)
+{
+    visit(x.number, x.isFinished, x.steps);
+}
 template <typename V> void visitFields(V& visit, SameAs<WorkflowRecord> auto& x)
 {
     visit(x.id, x.queue, x.pool, x.maxAttempts, x.spec, x.phase, x.acceptedMs, x.hasStarted, x.occurrences, x.begun,
@@ -76,10 +76,7 @@
 template <typename V> void visitFields(V& visit, SameAs<BeginOccurrence> auto& x) { visit(x.id, x.occurrence); }
 template <typename V> void visitFields(V& visit, SameAs<PlaceRuns::Entry> auto& x) { visit(x.run, x.life); }
 template <typename V> void visitFields(V& visit, SameAs<PlaceRuns> auto& x) { visit(x.lives, x.entries); }
-template <typename V> void visitFields(V& visit, SameAs<EndRuns::Entry> auto& x)
-{
-    visit(x.run, x.end, x.checkpoint);
-}
+template <typename V> void visitFields(V& visit, SameAs<EndRuns::Entry> auto& x) { visit(x.run, x.end, x.checkpoint); }
 template <typename V> void visitFields(V& visit, SameAs<EndRuns> auto& x) { visit(x.entries); }
 template <typename V> void visitFields(V& visit, SameAs<RecordWorkers> auto& x) { visit(x.profiles); }
 template <typename V> void visitFields(V& visit, SameAs<ForgetWorkers> auto& x) { visit(x.lives); }
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -162,8 +162,8 @@
         placeReady(output, batch, now);
 
     // Ends of runs that the record does not know need no record of their own.
-    const bool isMarkOpen = std::any_of(
-        m_batches.begin(), m_batches.end(), [](const auto& item) { return !item.second.ended.empty(); });
+    const bool isMarkOpen
+        = std::any_of(m_batches.begin(), m_batches.end(), [](const auto& item) { return !item.second.ended.empty(); });
     if (batch.ended.empty() && !isMarkOpen && !batch.mark.ends.empty())
         m_desk.recorded(batch.mark);
     if (output.commands.empty())
@@ -277,12 +277,11 @@
     }
 }
 
-void WorkflowScheduler::collectReady(
-    const WorkflowRecord& record, Tracked& tracked, TimePoint now, WallTime wall)
+void WorkflowScheduler::collectReady(const WorkflowRecord& record, Tracked& tracked, TimePoint now, WallTime wall)
 {
     const Queue queue = queueOf(record);
-    const Duration objective = longestChain(record.spec) * static_cast<int64_t>(queue.stretchPermille) / 1000
-        + queue.targetLatency;
+    const Duration objective
+        = longestChain(record.spec) * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
     for (const auto& occurrence : record.occurrences) {
         TimePoint begin = tracked.acceptedAt;
         if (record.spec.isTimed()) {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -9,8 +9,8 @@
 #include "workflow/AdmissionGate.h"
 #include "workflow/Planner.h"
 #include "workflow/RunDesk.h"
-#include "workflow/WorkflowRecord.h"
 #include "workflow/WorkflowListener.h"
+#include "workflow/WorkflowRecord.h"
 
 namespace hickoryknot::workflow {
 
--- a/src/workflow/WorkflowSpec.cpp
+++ b/src/workflow/WorkflowSpec.cpp
@@ -17,20 +17,16 @@
 constexpr uint32_t maxOccurrences = 1'000'000;
 constexpr size_t maxLabelBytes = 128;
 
-tl::unexpected<Error> invalid(std::string message)
-{
-    return makeError(ErrorCode::InvalidArgument, std::move(message));
-}
+tl::unexpected<Error> invalid(std::string message) { return makeError(ErrorCode::InvalidArgument, std::move(message)); }
 
 Expected<void> checkStep(const StepSpec& step, size_t index)
 {
     if (step.count < 1 || step.count > maxTasks)
         return invalid(fmt::format("step {} has {} tasks; 1 to {} are allowed", index, step.count, maxTasks));
     const auto& size = step.perTask;
-    const bool isSizeValid = size.millicores.count() >= 0
-        && size.millicores.count() <= protocol_limits::maxMillicores && size.mebibytes.count() >= 0
-        && size.mebibytes.count() <= protocol_limits::maxMebibytes && size.accelerators.count() >= 0
-        && size.accelerators.count() <= protocol_limits::maxAccelerators;
+    const bool isSizeValid = size.millicores.count() >= 0 && size.millicores.count() <= protocol_limits::maxMillicores
+        && size.mebibytes.count() >= 0 && size.mebibytes.count() <= protocol_limits::maxMebibytes
+        && size.accelerators.count() >= 0 && size.accelerators.count() <= protocol_limits::maxAccelerators;
     if (!isSizeValid)
         return invalid(fmt::format("step {} asks for resources out of range", index));
     for (const uint32_t earlier : step.after) {
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -16,18 +16,25 @@
 
 namespace {
 
-const char* const submission = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"dataRack":"r1-3"},)"
-                               R"({"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"after":[0],"checkpointing":true,"gang":true}]})";
-const char* const table = R"({"version":7,"routes":[{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"unsafe","timeoutMs":3000,)"
-                          R"("targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":4,"stretch":2.2,)"
-                          R"("advice":{"decideMs":410.0,"eachMs":5.8,"validMs":2500}}],"services":[{"name":"s","rejectsOverload":false}],"limits":{}})";
-const char* const report = R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,)"
-                           R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":1700000000000})";
-const char* const settings = R"({"node":"n","zone":"z","ip":"10.1.0.16","internalPortRange":[7720,7735],"seeds":["10.1.0.16:8166"],"bootstrap":true,)"
-                             R"("dataDir":"/data","listen":{"control":"10.1.0.16:8166"},"faultTolerance":{"machines":2},)"
-                             R"("bounds":{"holdMaxMs":6000,"stopMs":400,"gangMs":4000,"graceS":6},"later":{"unknown":[1]}})";
-
-HttpResponse answer(int status, std::string body) { return { .status = status, .headers = {}, .body = std::move(body) }; }
+const char* const submission
+    = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"dataRack":"r1-3"},)"
+      R"({"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"after":[0],"checkpointing":true,"gang":true}]})";
+const char* const table
+    = R"({"version":7,"routes":[{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"unsafe","timeoutMs":3000,)"
+      R"("targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":4,"stretch":2.2,)"
+      R"("advice":{"decideMs":410.0,"eachMs":5.8,"validMs":2500}}],"services":[{"name":"s","rejectsOverload":false}],"limits":{}})";
+const char* const report
+    = R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,)"
+      R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":1700000000000})";
+const char* const settings
+    = R"({"node":"n","zone":"z","ip":"10.1.0.16","internalPortRange":[7720,7735],"seeds":["10.1.0.16:8166"],"bootstrap":true,)"
+      R"("dataDir":"/data","listen":{"control":"10.1.0.16:8166"},"faultTolerance":{"machines":2},)"
+      R"("bounds":{"holdMaxMs":6000,"stopMs":400,"gangMs":4000,"graceS":6},"later":{"unknown":[1]}})";
+
+HttpResponse answer(int status, std::string body)
+{
+    return { .status = status, .headers = {}, .body = std::move(body) };
+}
 
 } // namespace
 
@@ -67,8 +74,9 @@
         for (size_t length = 0; length < whole.size(); ++length)
             CPPUNIT_ASSERT(!decodeSubmission(whole.substr(0, length)));
         for (const char* body : { "[]", "{}", R"({"steps":{}})", R"({"steps":[1]})", R"({"steps":[{"count":"4"}]})",
-                 R"({"steps":[{"count":0}]})", R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"cpu":-5}]})",
-                 R"({"steps":[{"count":1e300}]})", R"({"spec":5,"steps":[{"count":1}]})" })
+                 R"({"steps":[{"count":0}]})", R"({"steps":[{"count":1,"after":[0]}]})",
+                 R"({"steps":[{"count":1,"cpu":-5}]})", R"({"steps":[{"count":1e300}]})",
+                 R"({"spec":5,"steps":[{"count":1}]})" })
             CPPUNIT_ASSERT_MESSAGE(body, !decodeSubmission(body));
         CPPUNIT_ASSERT(!decodeSubmission(std::string(100'000, '[')));
         CPPUNIT_ASSERT(!decodeSubmission(R"({"spec":")" + std::string(5000, 'x') + R"(","steps":[{"count":1}]})"));
@@ -183,8 +191,9 @@
     // Guards against runs that count as gone because their row could not be read.
     void unreadableListIsNoAnswer()
     {
-        for (const char* body : { "", "{}", R"({"clockMs":"5"})", R"({"clockMs":5,"running":{}})", R"({"clockMs":5,"running":[["a",2]]})",
-                 R"({"clockMs":5,"ended":[[1,"a.0.0.0",1,"vanished",""]]})", R"({"clockMs":5,"ended":[["1","a.0.0.0",1,"done",""]]})" })
+        for (const char* body : { "", "{}", R"({"clockMs":"5"})", R"({"clockMs":5,"running":{}})",
+                 R"({"clockMs":5,"running":[["a",2]]})", R"({"clockMs":5,"ended":[[1,"a.0.0.0",1,"vanished",""]]})",
+                 R"({"clockMs":5,"ended":[["1","a.0.0.0",1,"done",""]]})" })
             CPPUNIT_ASSERT_MESSAGE(body, !decodeLookAnswer(answer(200, body)));
         CPPUNIT_ASSERT(decodeLookAnswer(answer(421, "{}")).error().code == ErrorCode::Conflict);
     }
--- a/tests/scheduler/ZoneSchedulerTest.cpp
+++ b/tests/scheduler/ZoneSchedulerTest.cpp
@@ -139,9 +139,9 @@
         CPPUNIT_ASSERT(beat("w").start.empty());
     }
 
-    // Guards against a task that must not run twice and does: a replaced leader that has not noticed it acknowledged the
-    // end of an assignment that only its successor had recorded, so that the successor took the task for never started.
-    // Seed 283 of ClusterSafetyTest.
+    // Guards against a task that must not run twice and does: a replaced leader that has not noticed it acknowledged
+    // the end of an assignment that only its successor had recorded, so that the successor took the task for never
+    // started. Seed 283 of ClusterSafetyTest.
     void replacedLeaderLeavesLaterAssignmentsAlone()
     {
         leadWithWorker();
--- a/tests/workflow/AdmissionGateTest.cpp
+++ b/tests/workflow/AdmissionGateTest.cpp
@@ -41,8 +41,8 @@
         CPPUNIT_ASSERT(!refusal(0));
     }
 
-    // Plays a burst of ten times what can wait: chain 1 s, objective 3 s, 100 cores. Guards against callers that are kept
-    // waiting for an answer that comes too late.
+    // Plays a burst of ten times what can wait: chain 1 s, objective 3 s, 100 cores. Guards against callers that are
+    // kept waiting for an answer that comes too late.
     void burstIsRefusedAtOnce()
     {
         wait(0, 1800);
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -81,7 +81,8 @@
         m_desk.settled(run, true, m_now);
         RunDesk::Orders orders;
         m_desk.advance(m_now, orders);
-        m_desk.startAnswered({ .life = samples::life(worker), .run = run, .command = {}, .checkpoint = {}, .permit = {} },
+        m_desk.startAnswered(
+            { .life = samples::life(worker), .run = run, .command = {}, .checkpoint = {}, .permit = {} },
             { .verdict = OrderVerdict::Done, .clock = 1000, .bornMs = 1 }, m_now);
     }
 
--- a/tests/workflow/RunDeskTest.cpp
+++ b/tests/workflow/RunDeskTest.cpp
@@ -87,7 +87,8 @@
         m_desk.startAnswered(order, { .verdict = verdict, .clock = m_clock, .bornMs = order.life.bornMs }, m_now);
     }
 
-    void look(const LookOrder& order, TimePoint sentAt, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
+    void look(
+        const LookOrder& order, TimePoint sentAt, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
     {
         m_desk.lookAnswered(order,
             LookAnswer { .clock = m_clock,
--- a/tests/workflow/WorkflowSafetyTest.cpp
+++ b/tests/workflow/WorkflowSafetyTest.cpp
@@ -21,8 +21,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against tasks in two places, workers over capacity, starts before their turn or after their end, and
-    // workflows that never end, while leaders change, workers restart, links are cut one way or both ways, and orders are
-    // lost or carried out seconds late. SEEDS sets the number of runs, FIRST_SEED the first one.
+    // workflows that never end, while leaders change, workers restart, links are cut one way or both ways, and orders
+    // are lost or carried out seconds late. SEEDS sets the number of runs, FIRST_SEED the first one.
     void promisesHoldUnderRandomFaults()
     {
         const uint64_t first = environmentNumber("FIRST_SEED", 1);
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -55,7 +55,8 @@
         CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
         CPPUNIT_ASSERT_EQUAL(size_t { 2 }, other.placedRuns().size());
         CPPUNIT_ASSERT_EQUAL(std::string("v"), other.placedRuns().back().life->worker.value());
-        CPPUNIT_ASSERT_EQUAL(std::string("cp"), other.find(samples::firstId)->find({ { samples::firstId, 0, 0 }, 1 })->checkpoint);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("cp"), other.find(samples::firstId)->find({ { samples::firstId, 0, 0 }, 1 })->checkpoint);
     }
 
     // Guards against a state that a damaged snapshot has half replaced.
--- a/tests/workflow/WorkflowWorld.cpp
+++ b/tests/workflow/WorkflowWorld.cpp
@@ -53,10 +53,7 @@
 
 WorkflowWorld::~WorkflowWorld() = default;
 
-bool WorkflowWorld::chance(double perStep)
-{
-    return static_cast<double>(m_random() % 1'000'000) < perStep * 1'000'000;
-}
+bool WorkflowWorld::chance(double perStep) { return static_cast<double>(m_random() % 1'000'000) < perStep * 1'000'000; }
 
 Duration WorkflowWorld::delay() { return Duration(500 + m_random() % (chance(0.1) ? 60'000 : 4'000)); }
 
@@ -116,7 +113,8 @@
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(m_nextWorkflow++));
     std::vector<StepSpec> steps;
     for (size_t i = 0; i < 1 + m_random() % 3; ++i) {
-        auto step = samples::step(static_cast<uint32_t>(1 + m_random() % 4), 500 + static_cast<int64_t>(m_random() % 1500));
+        auto step
+            = samples::step(static_cast<uint32_t>(1 + m_random() % 4), 500 + static_cast<int64_t>(m_random() % 1500));
         step.isGang = chance(0.3);
         step.isCheckpointing = chance(0.5);
         step.maxPerWorker = chance(0.2) ? 1 : 0;
@@ -232,9 +230,8 @@
             [this, &scheduler, order](const OrderAnswer& answer) { scheduler.stopAnswered(order, answer, m_now); });
     for (const auto& order : output.orders.looks)
         send(order, &StandInWorker::look, Expected<LookAnswer>(makeError(ErrorCode::Timeout, "no answer")),
-            [this, &scheduler, order, sentAt = m_now](const Expected<LookAnswer>& answer) {
-                scheduler.lookAnswered(order, answer, sentAt, m_now);
-            });
+            [this, &scheduler, order, sentAt = m_now](
+                const Expected<LookAnswer>& answer) { scheduler.lookAnswered(order, answer, sentAt, m_now); });
 }
 
 void WorkflowWorld::reportWorkers()
@@ -245,10 +242,9 @@
             continue;
         if (m_now < m_links[id].cutUntil)
             continue;
-        WorkerReport report { .profile = worker->profile(),
-            .sequence = ++m_sequences[id],
-            .clock = worker->clock(m_now),
-            .remaining = {} };
+        WorkerReport report {
+            .profile = worker->profile(), .sequence = ++m_sequences[id], .clock = worker->clock(m_now), .remaining = {}
+        };
         later(delay(), [this, report] { m_hosts[m_leader]->scheduler.workerReported(report, m_now); });
     }
 }
--- a/tests/workflow/WorkflowWorld.h
+++ b/tests/workflow/WorkflowWorld.h
@@ -16,8 +16,8 @@
 
 namespace hickoryknot::workflow {
 
-/// Three hosts with one log, of which one leads, and workers behind links that lose, delay and reorder. Leaders change at
-/// any moment; orders of a replaced leader still arrive, some of them seconds late. step() returns the first broken
+/// Three hosts with one log, of which one leads, and workers behind links that lose, delay and reorder. Leaders change
+/// at any moment; orders of a replaced leader still arrive, some of them seconds late. step() returns the first broken
 /// promise as a sentence.
 class WorkflowWorld {
 public:
@@ -42,10 +42,7 @@
         TimePoint at;
         uint64_t order;
         std::function<void()> run;
-        bool operator<(const Event& other) const
-        {
-            return at != other.at ? at < other.at : order < other.order;
-        }
+        bool operator<(const Event& other) const { return at != other.at ? at < other.at : order < other.order; }
     };
 
     bool chance(double perStep);
