Give a worker that leaves orders unanswered no work until it answers a look

Cause: behind a cut each worker was tried again with new work a second after each failure, and what was placed there waited for the end of the cut or the lease. Test: RunDeskTest::workerWithoutAnswersGetsNothingUntilItAnswers.

--- a/src/workflow/RunDesk.cpp
+++ b/src/workflow/RunDesk.cpp
@@ -10,6 +10,8 @@
 
 /// A worker that announced its end is gone for certain this long after; the announcement comes moments before the end.
 constexpr Duration leavingTime = 1s;
+/// A worker that was not heard for this long is not looked at any more unless something may run there.
+constexpr Duration doubtFor = 20s;
 /// Failed calls in a row after which nothing new is sent to a worker.
 constexpr uint32_t unreachableAfter = 2;
 /// Longest pause after failed calls to a worker before it is tried again.
@@ -204,6 +206,7 @@
 {
     view.heardAt = std::max(view.heardAt, now);
     view.failedCalls = 0;
+    view.waitingSince.reset();
     if (clock)
         view.clock.observed(*clock, now);
 }
@@ -211,6 +214,7 @@
 void RunDesk::noteFailure(WorkerView& view, TimePoint now)
 {
     ++view.failedCalls;
+    view.waitingSince.reset();
     const Duration pause = std::min(longestPause, m_settings.retryPause * (1 << std::min(view.failedCalls, 4U)));
     view.usableFrom = now + pause;
 }
@@ -253,6 +257,8 @@
         [[fallthrough]];
     case OrderVerdict::NotSent:
     case OrderVerdict::Fenced:
+        if (view)
+            view->waitingSince.reset();
         run.nextTry = now + m_settings.retryPause;
         break;
     case OrderVerdict::Unhealthy:
@@ -310,7 +316,7 @@
     if (!answer || isOtherLife) {
         if (!answer && answer.error().code != ErrorCode::Conflict)
             noteFailure(*view, now);
-        view->nextLookAt = now + m_settings.retryPause;
+        view->nextLookAt = std::max(now + m_settings.retryPause, view->usableFrom);
         return;
     }
     noteAnswer(*view, answer->clock, now);
@@ -436,7 +442,9 @@
         = std::any_of(m_strays.begin(), m_strays.end(), [&](const auto& stray) { return stray.second.life == life; });
     const bool isUnfenced = view.isProfileKnown && !view.isFenced && !view.clock.isKnown();
     const bool isOwed = view.confirmedEnds < view.recordedEnds;
-    if (!hasRuns && !hasStrays && !isUnfenced && !isOwed)
+    // A worker that did not answer gets no work until a look shows that it is there again.
+    const bool isDoubtful = view.failedCalls > 0 && now >= view.usableFrom && now - view.heardAt < doubtFor;
+    if (!hasRuns && !hasStrays && !isUnfenced && !isOwed && !isDoubtful)
         return;
     // While ends wait for their record, another look would list them again at once.
     if (view.recordedEnds < view.seenEnds)
@@ -495,6 +503,8 @@
         return;
     run.phase = RunView::Phase::Sent;
     run.isCallInFlight = true;
+    if (!view->waitingSince)
+        view->waitingSince = now;
     if (run.isGang) {
         Gang& gang = m_gangs.at({ run.run.task.step, run.run.run });
         if (!std::exchange(gang.hasFirstSent, true))
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -15,6 +15,9 @@
 
     /// A worker that has not been heard for this long gets no new work: two missed heartbeats of 1.5 s and some delay.
     Duration silentAfter { 4s };
+    /// A worker that leaves a start without an answer for this long gets no more until it answers: many times the round
+    /// trip, and still a fraction of the call's time limit.
+    Duration answerPatience { 150ms };
     /// Longest wait of a look for the next end. Longer waits need fewer looks but notice a silent worker later.
     Duration lookWait { 1s };
     /// Pause before a call that failed is repeated; several times the round trip within a region.
--- a/src/workflow/WorkerBoard.cpp
+++ b/src/workflow/WorkerBoard.cpp
@@ -111,8 +111,9 @@
 bool WorkerBoard::isUsable(const WorkerView& view, TimePoint now) const
 {
     return view.isProfileKnown && !view.profile.isDraining && !view.leftAt && view.clock.isKnown()
-        && now - view.heardAt < m_settings.silentAfter && now >= view.usableFrom && now >= view.probationEnd
-        && !view.hasInheritedRuns;
+        && now - view.heardAt < m_settings.silentAfter && !view.failedCalls && now >= view.usableFrom
+        && now >= view.probationEnd && !view.hasInheritedRuns
+        && (!view.waitingSince || now - *view.waitingSince < m_settings.answerPatience);
 }
 
 bool WorkerBoard::isSuitable(const WorkerView& view, const PoolName& pool, const StepSpec& step)
--- a/src/workflow/WorkerView.h
+++ b/src/workflow/WorkerView.h
@@ -34,8 +34,9 @@
     uint64_t confirmedEnds { 0 }; // The worker has been told that ends up to this number are recorded.
     /// From then on nothing runs there unless a lease is renewed.
     TimePoint leaseEnd;
-    uint32_t failedCalls { 0 }; // In a row.
+    uint32_t failedCalls { 0 }; // In a row; any answer ends them.
     TimePoint usableFrom; // After failed calls.
+    std::optional<TimePoint> waitingSince; // A start is on its way, and nothing has been answered since.
     std::optional<TimePoint> leftAt; // The worker said that it ends.
 
     /// Runs that ended in a row as failed, by different workflows; see WorkerBoard::runEnded().
--- a/tests/workflow/RunDeskTest.cpp
+++ b/tests/workflow/RunDeskTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(incompleteGangIsStoppedInTime);
     CPPUNIT_TEST(refusedMemberStopsTheOthers);
     CPPUNIT_TEST(announcedEndWithAnAnswerIsNoEnd);
+    CPPUNIT_TEST(workerWithoutAnswersGetsNothingUntilItAnswers);
     CPPUNIT_TEST_SUITE_END();
 
     SchedulerSettings m_settings;
@@ -332,6 +333,29 @@
         CPPUNIT_ASSERT(stops.front().run == orders.starts[0].run);
     }
 
+    // Guards against task after task that is placed on a worker behind a cut, each of which then waits for the lease: the
+    // worker was tried again a second after each failure, with new work instead of a look.
+    void workerWithoutAnswersGetsNothingUntilItAnswers()
+    {
+        begin();
+        const auto isUsable = [&] { return m_board.isUsable(*m_board.find(samples::life("w")), m_now); };
+        place(m_run);
+        const auto order = start();
+        CPPUNIT_ASSERT(isUsable());
+        m_now += m_settings.answerPatience;
+        CPPUNIT_ASSERT(!isUsable());
+        m_now += 350ms;
+        answer(order, OrderVerdict::NoAnswer);
+        m_now += 2s;
+        CPPUNIT_ASSERT(!isUsable());
+        m_desk.lookAnswered(m_look, makeError(ErrorCode::Timeout, "silent"), m_now, m_now);
+        m_now += 2s;
+        const auto looks = advance().looks;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, looks.size());
+        look(looks.front(), m_now, {});
+        CPPUNIT_ASSERT(isUsable());
+    }
+
     // Guards against a delayed announcement of an end that ends the runs of a worker that lives.
     void announcedEndWithAnAnswerIsNoEnd()
     {
