Remove what nothing uses, and split the search for ready tasks

Found by reading the change as a newcomer: settings and fields that no decision reads, two copies of the same room check, a function of 70 lines. The platform's names 'pathPrefix' and 'untilMs' no longer stand in src/. Tasks whose placement is on its way to the record are kept in one set. A batch that cannot be recorded hands leadership over.

--- a/bench/workflow/SchedulerBench.cpp
+++ b/bench/workflow/SchedulerBench.cpp
@@ -22,7 +22,6 @@
     void stopRequested(const RunRef&, const char*) override { }
     void runEnded(const RunRef&, const WorkerLife&, RunEnd) override { }
     void workflowEnded(const WorkflowRecord&, Duration) override { }
-    void workerLost(const WorkerLife&, const char*) override { }
 };
 
 struct Run {
@@ -46,7 +45,7 @@
     Queue queue;
     queue.name = QueueName(name);
     queue.callerHost = "host";
-    queue.pathPrefix = std::string("/") + name + "/";
+    queue.urlPrefix = std::string("/") + name + "/";
     queue.pool = PoolName("pool");
     queue.priority = priority;
     queue.maxAttempts = 4;
@@ -112,11 +111,8 @@
     {
         ++m_sequence;
         for (const auto& [life, worker] : m_workers)
-            m_scheduler.workerReported({ .profile = worker.profile,
-                                           .sequence = m_sequence,
-                                           .clock = m_now.time_since_epoch() / 1ms,
-                                           .remaining = {} },
-                m_now);
+            m_scheduler.workerReported(
+                { .profile = worker.profile, .sequence = m_sequence, .clock = m_now.time_since_epoch() / 1ms }, m_now);
     }
 
     void submit(Duration tick)
--- a/src/control/ControlCall.h
+++ b/src/control/ControlCall.h
@@ -61,7 +61,6 @@
     bool keepsState { false }; // It has a disk and may be a voter.
     uint64_t storeId { 0 };
     uint64_t incarnation { 0 };
-    uint64_t sequence { 0 };
     bool mayAskPermission { false }; // It can call the permission service for the leader.
     bool isDraining { false };
 };
--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -29,7 +29,7 @@
 template <typename V> void visitFields(V& visit, SameAs<LeaveCall> auto& x) { visit(x.worker); }
 template <typename V> void visitFields(V& visit, SameAs<HelloCall> auto& x)
 {
-    visit(x.host, x.zone, x.keepsState, x.storeId, x.incarnation, x.sequence, x.mayAskPermission, x.isDraining);
+    visit(x.host, x.zone, x.keepsState, x.storeId, x.incarnation, x.mayAskPermission, x.isDraining);
 }
 template <typename V> void visitFields(V& visit, SameAs<ExplainCall> auto& x) { visit(x.workflow); }
 template <typename V> void visitFields(V& visit, SameAs<ControlReply> auto& x)
@@ -42,20 +42,16 @@
 void visitFields(FieldWriter& visit, const ReportCall& x)
 {
     const auto& report = x.report;
-    visit(report.profile, report.sequence, report.clock.has_value(), report.clock.value_or(0),
-        report.remaining.has_value(), report.remaining.value_or(Duration(0)), report.warmup);
+    visit(report.profile, report.sequence, report.clock.has_value(), report.clock.value_or(0));
 }
 
 void visitFields(FieldReader& visit, ReportCall& x)
 {
     Maybe<workflow::WorkerMs> clock;
-    Maybe<Duration> remaining;
     auto& report = x.report;
-    visit(report.profile, report.sequence, clock.isSet, clock.value, remaining.isSet, remaining.value, report.warmup);
+    visit(report.profile, report.sequence, clock.isSet, clock.value);
     if (clock.isSet)
         report.clock = clock.value;
-    if (remaining.isSet)
-        report.remaining = remaining.value;
 }
 
 const char* controlVerdictName(ControlVerdict verdict)
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -110,12 +110,6 @@
             { "ageMs", milliseconds(age) } });
 }
 
-void DecisionLog::workerLost(const WorkerLife& life, const char* reason)
-{
-    write(EventLevel::Warning, Event::WorkerSilent, "a worker's runs are given up",
-        { { "worker", life.worker.value() }, { "born", std::to_string(life.bornMs) }, { "reason", reason } });
-}
-
 void DecisionLog::accepted(const WorkflowId& id, const QueueName& queue, Duration commitTime)
 {
     m_metrics.add(m_accepted);
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -20,7 +20,6 @@
     void stopRequested(const workflow::RunRef&, const char* reason) override;
     void runEnded(const workflow::RunRef&, const workflow::WorkerLife&, workflow::RunEnd) override;
     void workflowEnded(const workflow::WorkflowRecord&, Duration age) override;
-    void workerLost(const workflow::WorkerLife&, const char* reason) override;
 
     void accepted(const workflow::WorkflowId&, const workflow::QueueName&, Duration commitTime);
     void refused(const workflow::WorkflowId&, const workflow::QueueName&, Duration returnAfter);
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -256,6 +256,12 @@
                     waiter.respond(makeReply(
                         isUndone ? ControlVerdict::NotLeader : ControlVerdict::Uncertain, result.error().message));
             }
+            if (!result && m_scheduler.isLeader()) {
+                // Decisions that can be neither recorded nor forgotten; another leader starts from the record.
+                EventLog::write(
+                    EventLevel::Error, Event::LeadershipEnded, "a batch was not recorded: " + result.error().message);
+                m_runner->handOver(steadyNow());
+            }
             if (!result)
                 return;
             m_scheduler.recorded(batch, steadyNow());
@@ -549,8 +555,7 @@
         .zone = m_settings.zone,
         .keepsState = true,
         .storeId = static_cast<uint64_t>(identity.store),
-        .incarnation = m_settings.incarnation,
-        .sequence = ++m_sequence };
+        .incarnation = m_settings.incarnation };
 }
 
 } // namespace hickoryknot
--- a/src/control/WorkflowHost.h
+++ b/src/control/WorkflowHost.h
@@ -111,7 +111,6 @@
     TimePoint m_pumpDueAt { TimePoint::max() };
     TimePoint m_nextMemberChange;
     TimePoint m_nextAdvance;
-    uint64_t m_sequence { 0 };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/src/control/WorkflowHostSettings.h
+++ b/src/control/WorkflowHostSettings.h
@@ -6,7 +6,6 @@
 #include "consensus/LogTimings.h"
 #include "core/Ids.h"
 #include "core/Time.h"
-#include "net/HttpMessage.h"
 #include "workflow/SchedulerSettings.h"
 
 namespace hickoryknot {
@@ -15,13 +14,9 @@
 struct WorkflowHostSettings {
     HostId self;
     ZoneId zone;
-    /// Where other hosts of the fleet reach this one.
-    Endpoint listen;
     std::string dataFolder;
     /// Hosts that form the group at the very first start; empty: this host joins a group that exists.
     std::vector<HostId> founders;
-    /// Hosts to ask for the group.
-    std::vector<HostId> seeds;
     /// Hosts with a disk that may be lost at the same time; the group has twice as many voters and one more.
     size_t toleratedLosses { 1 };
     LogTimings timings;
--- a/src/state/RequestBook.cpp
+++ b/src/state/RequestBook.cpp
@@ -65,7 +65,7 @@
                                RequestRecord { .contentHash = contentHash,
                                    .phase = RequestPhase::Started,
                                    .host = host,
-                                   .untilMs = deadlineMs + outcomeGraceMs })
+                                   .expiresMs = deadlineMs + outcomeGraceMs })
                            .second;
     HICKORYKNOT_ASSERT(isNew, "only a new request id may start");
 }
@@ -110,7 +110,7 @@
     record.phase = RequestPhase::Ended;
     record.host = {};
     // An id from a clock ahead stays until its own time has expired, so that it never counts as new again.
-    record.untilMs = std::max(nowMs, timeOfRequest(id).value_or(nowMs)) + retentionMs;
+    record.expiresMs = std::max(nowMs, timeOfRequest(id).value_or(nowMs)) + retentionMs;
     m_answerBytes += record.outcome.answer.size();
 }
 
@@ -126,11 +126,11 @@
 {
     for (auto at = m_records.begin(); at != m_records.end();) {
         auto& [id, record] = *at;
-        if (record.phase == RequestPhase::Started && record.untilMs < nowMs)
+        if (record.phase == RequestPhase::Started && record.expiresMs < nowMs)
             finish(id, record,
                 lostOutcome("outcome_not_recorded", "No outcome was recorded in time; the request may have run."),
                 nowMs);
-        if (record.phase != RequestPhase::Ended || record.untilMs >= nowMs) {
+        if (record.phase != RequestPhase::Ended || record.expiresMs >= nowMs) {
             ++at;
             continue;
         }
--- a/src/state/RequestBook.h
+++ b/src/state/RequestBook.h
@@ -30,7 +30,7 @@
     /// The entry host that runs it while it is Started.
     HostId host {};
     /// While Started: after this moment the outcome counts as lost. Once Ended: when the record goes.
-    UnixMs untilMs { 0 };
+    UnixMs expiresMs { 0 };
     Outcome outcome {};
 };
 
--- a/src/state/StateFields.h
+++ b/src/state/StateFields.h
@@ -69,7 +69,7 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<RequestRecord> auto& x)
 {
-    visit(x.contentHash, x.phase, x.job, x.host, x.untilMs, x.outcome);
+    visit(x.contentHash, x.phase, x.job, x.host, x.expiresMs, x.outcome);
 }
 template <typename V> void visitFields(V& visit, SameAs<HostRecord> auto& x)
 {
--- a/src/workflow/AdmissionGate.cpp
+++ b/src/workflow/AdmissionGate.cpp
@@ -14,16 +14,6 @@
     return sum;
 }
 
-double AdmissionGate::work(const WorkflowSpec& spec)
-{
-    double sum = 0;
-    for (const auto& step : spec.steps) {
-        const double cores = step.usesSpareCapacity ? 0 : static_cast<double>(step.perTask.millicores.count());
-        sum += static_cast<double>(step.count) * cores * static_cast<double>(step.estimate.count());
-    }
-    return sum;
-}
-
 std::optional<Duration> AdmissionGate::refusal(
     const Queue& queue, const WorkflowSpec& spec, const Load& load, Millicores capacity, double spread) const
 {
--- a/src/workflow/AdmissionGate.h
+++ b/src/workflow/AdmissionGate.h
@@ -46,9 +46,6 @@
     std::optional<Duration> refusal(
         const Queue&, const WorkflowSpec&, const Load&, Millicores capacity, double spread) const;
 
-    /// Estimated work of a whole workflow in thousandths of a core times microseconds.
-    static double work(const WorkflowSpec&);
-
 private:
     AdmissionSettings m_settings;
 };
--- a/src/workflow/Queue.h
+++ b/src/workflow/Queue.h
@@ -25,7 +25,7 @@
     QueueName name;
     /// Host name and path prefix under which callers submit.
     std::string callerHost;
-    std::string pathPrefix;
+    std::string urlPrefix;
     /// Pool whose workers run the tasks.
     PoolName pool;
     /// 0 comes first and may preempt others.
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -16,13 +16,13 @@
 {
     const Queue* best = nullptr;
     for (const auto& queue : queues) {
-        const bool matches = queue.callerHost == callerHost && path.starts_with(queue.pathPrefix);
-        if (matches && (!best || queue.pathPrefix.size() > best->pathPrefix.size()))
+        const bool matches = queue.callerHost == callerHost && path.starts_with(queue.urlPrefix);
+        if (matches && (!best || queue.urlPrefix.size() > best->urlPrefix.size()))
             best = &queue;
     }
     if (!best)
         return std::nullopt;
-    return Target { best, std::string(path.substr(best->pathPrefix.size())) };
+    return Target { best, std::string(path.substr(best->urlPrefix.size())) };
 }
 
 const Queue* QueueTable::find(const QueueName& name) const
@@ -50,9 +50,9 @@
         const auto& name = queue.name.value();
         if (!names.insert(queue.name).second)
             return invalid(fmt::format("queue {} stands twice", name));
-        if (!queue.pathPrefix.starts_with('/'))
+        if (!queue.urlPrefix.starts_with('/'))
             return invalid(fmt::format("the path prefix of queue {} does not begin with a slash", name));
-        if (!places.insert({ queue.callerHost, queue.pathPrefix }).second)
+        if (!places.insert({ queue.callerHost, queue.urlPrefix }).second)
             return invalid(fmt::format("queue {} has the host and prefix of another queue", name));
         if (!pools.contains(queue.pool))
             return invalid(fmt::format("queue {} names pool {}, which is not in the table", name, queue.pool.value()));
--- a/src/workflow/RunDesk.cpp
+++ b/src/workflow/RunDesk.cpp
@@ -452,7 +452,6 @@
     // A first look, or one after a failure, does not wait: what runs there must be known soon.
     const bool mayWait = view.isFenced && !view.failedCalls && hasRuns;
     view.isLookInFlight = true;
-    ++view.looksSent;
     orders.looks.push_back({ .life = life,
         .fence = m_fence,
         .recordedEnds = view.recordedEnds,
--- a/src/workflow/RunDesk.h
+++ b/src/workflow/RunDesk.h
@@ -81,7 +81,6 @@
         bool isInFlight { false };
         bool isConfirmed { false };
         TimePoint nextTry;
-        uint64_t looksAtConfirm { 0 };
     };
     struct Gang {
         std::set<RunRef> members;
--- a/src/workflow/SchedulerObserver.h
+++ b/src/workflow/SchedulerObserver.h
@@ -22,8 +22,6 @@
     virtual void runEnded(const RunRef&, const WorkerLife&, RunEnd) = 0;
     /// A workflow has its final state, `age` after its acceptance.
     virtual void workflowEnded(const WorkflowRecord&, Duration age) = 0;
-    /// A worker's life is known to be over, or it is silent.
-    virtual void workerLost(const WorkerLife&, const char* reason) = 0;
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -8,8 +8,6 @@
 struct SchedulerSettings {
     /// Longest lease that a worker keeps; longer ones are shortened to it.
     Duration maxLease { 10s };
-    /// Longest time that a stop takes.
-    Duration stopTime { 900ms };
     /// Members of a gang give up when the others are missing for this long.
     Duration gangPatience { 3s };
 
--- a/src/workflow/WorkerBoard.cpp
+++ b/src/workflow/WorkerBoard.cpp
@@ -121,27 +121,6 @@
     return view.profile.pool == pool && (step.requiredLabel.empty() || view.profile.hasLabel(step.requiredLabel));
 }
 
-uint32_t WorkerBoard::roomFor(const WorkerView& view, const StepRef& step, const StepSpec& spec, uint32_t most)
-{
-    uint32_t limit = most;
-    if (spec.maxPerWorker) {
-        const auto present = view.tasksOfStep.find(step);
-        const uint32_t count = present == view.tasksOfStep.end() ? 0 : present->second;
-        limit = std::min(limit, spec.maxPerWorker > count ? spec.maxPerWorker - count : 0);
-    }
-    const Resources size = occupied(spec);
-    const Resources free = view.free();
-    const auto fit = [&](int64_t have, int64_t need) {
-        if (need <= 0)
-            return;
-        limit = std::min(limit, static_cast<uint32_t>(std::max<int64_t>(0, std::min<int64_t>(have / need, limit))));
-    };
-    fit(free.millicores.count(), size.millicores.count());
-    fit(free.mebibytes.count(), size.mebibytes.count());
-    fit(free.accelerators.count(), size.accelerators.count());
-    return limit;
-}
-
 void WorkerBoard::occupy(WorkerView& view, const StepRef& step, const StepSpec& spec)
 {
     view.used += occupied(spec);
--- a/src/workflow/WorkerBoard.h
+++ b/src/workflow/WorkerBoard.h
@@ -50,8 +50,6 @@
     bool isUsable(const WorkerView&, TimePoint now) const;
     /// True if the rules of the step allow the worker, room and limits per worker aside.
     static bool isSuitable(const WorkerView&, const PoolName&, const StepSpec&);
-    /// Tasks of the step that fit in addition, `most` at the most.
-    static uint32_t roomFor(const WorkerView&, const StepRef&, const StepSpec&, uint32_t most);
 
     static void occupy(WorkerView&, const StepRef&, const StepSpec&);
     static void release(WorkerView&, const StepRef&, const StepSpec&);
--- a/src/workflow/WorkerReport.h
+++ b/src/workflow/WorkerReport.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <optional>
 
-#include "core/Time.h"
 #include "workflow/WorkerClock.h"
 #include "workflow/WorkerProfile.h"
 
@@ -14,10 +13,6 @@
     WorkerProfile profile;
     uint64_t sequence { 0 }; // Ascending within a life, so that a late report is recognised.
     std::optional<WorkerMs> clock;
-    /// Draining workers only: least time that is left.
-    std::optional<Duration> remaining;
-    /// The worker stays slow for this long after its start.
-    Duration warmup { 0 };
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkerView.h
+++ b/src/workflow/WorkerView.h
@@ -27,7 +27,6 @@
     bool isFenced { false }; // It has answered a call of this leadership.
     bool hasInheritedRuns { false }; // Placed by an earlier leader and not yet seen by this one.
     bool isLookInFlight { false };
-    uint64_t looksSent { 0 };
     TimePoint nextLookAt;
     uint64_t seenEnds { 0 }; // Highest end number taken in.
     uint64_t recordedEnds { 0 }; // Ends up to this number are recorded.
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -32,7 +32,7 @@
 }
 template <typename V> void visitFields(V& visit, SameAs<Queue> auto& x)
 {
-    visit(x.name, x.callerHost, x.pathPrefix, x.pool, x.priority, x.maxAttempts, x.stretchPermille, x.targetLatency,
+    visit(x.name, x.callerHost, x.urlPrefix, x.pool, x.priority, x.maxAttempts, x.stretchPermille, x.targetLatency,
         x.callTimeout, x.permission);
 }
 template <typename V> void visitFields(V& visit, SameAs<Pool> auto& x)
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -68,6 +68,7 @@
     m_knownEnded.clear();
     m_unrecorded.clear();
     m_batches.clear();
+    m_placing.clear();
 }
 
 void WorkflowScheduler::workflowChanged(const WorkflowId& id)
@@ -186,6 +187,7 @@
     for (const auto& run : batch.placed) {
         const WorkflowRecord* record = m_state.find(run.task.step.workflow);
         const TaskRecord* task = record ? record->find(run.task) : nullptr;
+        m_placing.erase(run.task);
         m_desk.settled(run, task && task->isPlaced && task->run == run.run, now);
         m_changed.insert(run.task.step.workflow);
     }
@@ -290,56 +292,28 @@
         }
         for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const StepSpec& spec = record.spec.steps[step];
-            const StepRecord& steps = occurrence.steps[step];
             const StepRef ref { record.id, occurrence.number, step };
-            const bool isOpen = steps.open > 0
-                && std::all_of(spec.after.begin(), spec.after.end(),
-                    [&](uint32_t earlier) { return occurrence.steps[earlier].isDone(); });
-            // Members of an earlier run of a gang must have ended before it starts again.
-            if (!isOpen || (spec.isGang && steps.placed)) {
-                if (!steps.open)
-                    m_permits.forget(ref);
-                continue;
-            }
             ReadyStep ready { .ref = ref,
                 .spec = &spec,
                 .queue = queue,
-                .tasks = {},
+                .tasks = readyTasks(record, occurrence, step),
                 .dueAt = begin + objective,
                 .uselessAt = begin + objective * uselessAfterObjectives,
                 .chain = chainFrom(record.spec, step),
-                .readySince = now };
-            bool hasProposed = false;
-            for (uint32_t index = 0; index < steps.tasks.size(); ++index) {
-                const TaskRecord& task = steps.tasks[index];
-                if (!task.isWaiting())
-                    continue;
-                // A placement that is on its way to the record.
-                if (m_desk.find({ { ref, index }, task.run + 1 })) {
-                    hasProposed = true;
-                    continue;
-                }
-                ready.tasks.push_back({ .index = index, .nextRun = task.run + 1 });
-            }
-            if (ready.tasks.empty() || (spec.isGang && hasProposed)) {
+                .readySince = now,
+                .avoided = {} };
+            if (ready.tasks.empty()) {
                 tracked.readySince.erase(ref);
+                if (occurrence.steps[step].isDone())
+                    m_permits.forget(ref);
                 continue;
             }
-            if (spec.isGang) {
-                // Members share one number, higher than any that a member has had.
-                uint32_t run = 0;
-                for (const auto& task : ready.tasks)
-                    run = std::max(run, task.nextRun);
-                for (auto& task : ready.tasks)
-                    task.nextRun = run;
-            }
+            ready.readySince = tracked.readySince.try_emplace(ref, now).first->second;
+            if (const auto failed = tracked.failedOn.find(ref); failed != tracked.failedOn.end())
+                ready.avoided = failed->second;
             if (!spec.usesSpareCapacity && !spec.isLongRunning)
                 tracked.work += static_cast<double>(ready.tasks.size())
                     * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimate.count());
-            const auto since = tracked.readySince.try_emplace(ref, now).first;
-            ready.readySince = since->second;
-            if (const auto failed = tracked.failedOn.find(ref); failed != tracked.failedOn.end())
-                ready.avoided = failed->second;
             tracked.ready.push_back(ref);
             m_ready.insert_or_assign(ref, std::move(ready));
         }
@@ -347,6 +321,37 @@
     m_load.byPriority[tracked.priority] += tracked.work;
 }
 
+// Tasks whose turn has come and that neither run nor are being placed; of a gang all or none.
+std::vector<ReadyStep::Task> WorkflowScheduler::readyTasks(
+    const WorkflowRecord& record, const OccurrenceRecord& occurrence, uint32_t step) const
+{
+    const StepSpec& spec = record.spec.steps[step];
+    const StepRecord& steps = occurrence.steps[step];
+    const bool isItsTurn = std::all_of(
+        spec.after.begin(), spec.after.end(), [&](uint32_t earlier) { return occurrence.steps[earlier].isDone(); });
+    // Members of an earlier run of a gang must have ended before it starts again.
+    if (!steps.open || !isItsTurn || (spec.isGang && steps.placed))
+        return {};
+    std::vector<ReadyStep::Task> tasks;
+    uint32_t highestRun = 0;
+    for (uint32_t index = 0; index < steps.tasks.size(); ++index) {
+        const TaskRecord& task = steps.tasks[index];
+        if (!task.isWaiting())
+            continue;
+        const uint32_t nextRun = task.run + 1;
+        highestRun = std::max(highestRun, nextRun);
+        const bool isBeingPlaced = m_placing.contains({ { record.id, occurrence.number, step }, index });
+        if (isBeingPlaced && spec.isGang)
+            return {};
+        if (!isBeingPlaced)
+            tasks.push_back({ .index = index, .nextRun = nextRun });
+    }
+    // Members share one number, higher than any that a member has had.
+    for (auto& task : tasks)
+        task.nextRun = spec.isGang ? highestRun : task.nextRun;
+    return tasks;
+}
+
 void WorkflowScheduler::stopUnwanted(const WorkflowRecord& record, TimePoint now)
 {
     for (const auto& occurrence : record.occurrences) {
@@ -438,6 +443,7 @@
         m_desk.proposed(
             placement.run, placement.life, *placement.spec, placement.priority, std::move(placement.permit));
         batch.placed.push_back(placement.run);
+        m_placing.insert(placement.run.task);
         // Until the record is there, the task must not be placed again.
         m_changed.insert(placement.run.task.step.workflow);
     }
@@ -449,7 +455,7 @@
         for (const auto& ref : known->second.ready) {
             const auto ready = m_ready.find(ref);
             std::erase_if(ready->second.tasks, [&](const ReadyStep::Task& task) {
-                return m_desk.find({ { ref, task.index }, task.nextRun }) != nullptr;
+                return m_placing.contains({ ref, task.index });
             });
         }
         std::erase_if(known->second.ready, [&](const StepRef& ref) {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -96,6 +96,7 @@
     void untrack(const WorkflowId&);
     void drop(Tracked&);
     void collectReady(const WorkflowRecord&, Tracked&, TimePoint now, WallTime wall);
+    std::vector<ReadyStep::Task> readyTasks(const WorkflowRecord&, const OccurrenceRecord&, uint32_t step) const;
     void stopUnwanted(const WorkflowRecord&, TimePoint now);
     Queue queueOf(const WorkflowRecord&) const;
     void beginDueOccurrences(std::vector<WorkflowCommand>&, WallTime wall);
@@ -130,6 +131,8 @@
 
     std::set<WorkerId> m_unrecorded;
     std::map<uint64_t, Batch> m_batches;
+    /// Tasks whose placement is on its way to the record.
+    std::set<TaskRef> m_placing;
     uint64_t m_nextBatch { 1 };
     bool m_mayPlan { true };
 };
--- a/tests/workflow/RunDeskTest.cpp
+++ b/tests/workflow/RunDeskTest.cpp
@@ -333,8 +333,8 @@
         CPPUNIT_ASSERT(stops.front().run == orders.starts[0].run);
     }
 
-    // Guards against task after task that is placed on a worker behind a cut, each of which then waits for the lease: the
-    // worker was tried again a second after each failure, with new work instead of a look.
+    // Guards against task after task that is placed on a worker behind a cut, each of which then waits for the lease:
+    // the worker was tried again a second after each failure, with new work instead of a look.
     void workerWithoutAnswersGetsNothingUntilItAnswers()
     {
         begin();
--- a/tests/workflow/WorkflowSamples.h
+++ b/tests/workflow/WorkflowSamples.h
@@ -24,7 +24,7 @@
     Queue row;
     row.name = QueueName(name);
     row.callerHost = "host";
-    row.pathPrefix = std::string("/") + name + "/";
+    row.urlPrefix = std::string("/") + name + "/";
     row.pool = PoolName("pool");
     row.priority = priority;
     row.maxAttempts = 2;
--- a/tests/workflow/WorkflowWorld.cpp
+++ b/tests/workflow/WorkflowWorld.cpp
@@ -18,7 +18,6 @@
     void stopRequested(const RunRef&, const char*) override { }
     void runEnded(const RunRef&, const WorkerLife&, RunEnd) override { }
     void workflowEnded(const WorkflowRecord&, Duration) override { }
-    void workerLost(const WorkerLife&, const char*) override { }
 };
 
 } // namespace
@@ -243,7 +242,7 @@
         if (m_now < m_links[id].cutUntil)
             continue;
         WorkerReport report {
-            .profile = worker->profile(), .sequence = ++m_sequences[id], .clock = worker->clock(m_now), .remaining = {}
+            .profile = worker->profile(), .sequence = ++m_sequences[id], .clock = worker->clock(m_now)
         };
         later(delay(), [this, report] { m_hosts[m_leader]->scheduler.workerReported(report, m_now); });
     }
