--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -54,51 +54,46 @@
         report.clock = clock.value;
 }
 
-const char* controlVerdictName(ControlVerdict verdict)
-{
-    constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady", "notLeader",
-        "uncertain" };
-    return names[static_cast<size_t>(verdict)];
-}
-
-std::string encodeControlCall(const ControlCall& call) { return encodeVariant(call); }
-
-Expected<ControlCall> decodeControlCall(std::string_view bytes) { return decodeVariant<ControlCall>(bytes); }
+namespace {
 
-std::string encodeControlReply(const ControlReply& reply)
+template <typename Message> std::string encodeMessage(const Message& message)
 {
     FieldWriter writer;
-    writer(reply);
+    writer(message);
     return writer.finish();
 }
 
-Expected<ControlReply> decodeControlReply(std::string_view bytes)
+template <typename Message> Expected<Message> decodeMessage(std::string_view bytes)
 {
     FieldReader reader(bytes);
-    ControlReply reply;
-    reader(reply);
+    Message message;
+    reader(message);
     if (auto finished = reader.finish(); !finished)
         return tl::unexpected(finished.error());
-    return reply;
+    return message;
 }
 
-std::string encodePermitCall(const PermitCall& call)
-{
-    FieldWriter writer;
-    writer(call);
-    return writer.finish();
-}
+} // namespace
 
-Expected<PermitCall> decodePermitCall(std::string_view bytes)
+const char* controlVerdictName(ControlVerdict verdict)
 {
-    FieldReader reader(bytes);
-    PermitCall call;
-    reader(call);
-    if (auto finished = reader.finish(); !finished)
-        return tl::unexpected(finished.error());
-    return call;
+    constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady", "notLeader",
+        "uncertain" };
+    return names[static_cast<size_t>(verdict)];
 }
 
+std::string encodeControlCall(const ControlCall& call) { return encodeVariant(call); }
+
+Expected<ControlCall> decodeControlCall(std::string_view bytes) { return decodeVariant<ControlCall>(bytes); }
+
+std::string encodeControlReply(const ControlReply& reply) { return encodeMessage(reply); }
+
+Expected<ControlReply> decodeControlReply(std::string_view bytes) { return decodeMessage<ControlReply>(bytes); }
+
+std::string encodePermitCall(const PermitCall& call) { return encodeMessage(call); }
+
+Expected<PermitCall> decodePermitCall(std::string_view bytes) { return decodeMessage<PermitCall>(bytes); }
+
 std::string encodePermitAnswer(const workflow::PermitAnswer& answer)
 {
     FieldWriter writer;
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -15,21 +15,6 @@
 
 std::string milliseconds(Duration duration) { return std::to_string(duration / 1ms); }
 
-const char* phaseName(WorkflowPhase phase)
-{
-    switch (phase) {
-    case WorkflowPhase::Active:
-        return "active";
-    case WorkflowPhase::Completed:
-        return "completed";
-    case WorkflowPhase::Failed:
-        return "failed";
-    case WorkflowPhase::Cancelled:
-        return "cancelled";
-    }
-    return "";
-}
-
 } // namespace
 
 DecisionLog::DecisionLog()
@@ -106,8 +91,8 @@
         m_metrics.add(m_failed);
     m_metrics.record(m_age, age);
     write(EventLevel::Info, Event::JobFinished, "a workflow has its final state",
-        { { "workflow", record.id.value() }, { "queue", record.queue.value() }, { "state", phaseName(record.phase) },
-            { "ageMs", milliseconds(age) } });
+        { { "workflow", record.id.value() }, { "queue", record.queue.value() },
+            { "state", workflowPhaseName(record.phase) }, { "ageMs", milliseconds(age) } });
 }
 
 void DecisionLog::accepted(const WorkflowId& id, const QueueName& queue, Duration commitTime)
--- a/src/workflow/WorkflowRecord.cpp
+++ b/src/workflow/WorkflowRecord.cpp
@@ -1,9 +1,16 @@
 #include "workflow/WorkflowRecord.h"
 
 #include <algorithm>
+#include <array>
 
 namespace hickoryknot::workflow {
 
+const char* workflowPhaseName(WorkflowPhase phase)
+{
+    constexpr std::array names { "active", "completed", "failed", "cancelled" };
+    return names[static_cast<size_t>(phase)];
+}
+
 const OccurrenceRecord* WorkflowRecord::find(uint32_t occurrence) const
 {
     const auto found = std::find_if(occurrences.begin(), occurrences.end(),
--- a/src/workflow/WorkflowRecord.h
+++ b/src/workflow/WorkflowRecord.h
@@ -60,6 +60,8 @@
     Cancelled,
 };
 
+const char* workflowPhaseName(WorkflowPhase);
+
 /// The recorded state of one workflow.
 struct WorkflowRecord {
     WorkflowId id;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -218,7 +218,7 @@
         const auto reply = [](ControlVerdict verdict) {
             ControlReply made;
             made.verdict = verdict;
-            return encodeSubmitReply(made).status;
+            return encodeReply(made).status;
         };
         CPPUNIT_ASSERT_EQUAL(200, reply(ControlVerdict::Done));
         CPPUNIT_ASSERT_EQUAL(404, reply(ControlVerdict::NoSuchQueue));
@@ -227,8 +227,8 @@
         CPPUNIT_ASSERT_EQUAL(504, reply(ControlVerdict::Uncertain));
         const Expected<ControlReply> timeout = makeError(ErrorCode::Timeout, "no answer");
         const Expected<ControlReply> unsent = makeError(ErrorCode::Unavailable, "no leader");
-        CPPUNIT_ASSERT_EQUAL(504, encodeSubmitReply(timeout).status);
-        CPPUNIT_ASSERT_EQUAL(503, encodeSubmitReply(unsent).status);
+        CPPUNIT_ASSERT_EQUAL(504, encodeReply(timeout).status);
+        CPPUNIT_ASSERT_EQUAL(503, encodeReply(unsent).status);
     }
 
     // Guards against bytes from outside that end the process.
