--- a/src/core/Resources.h
+++ b/src/core/Resources.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "core/Quantity.h"
 
 namespace hickoryknot {
@@ -16,6 +18,13 @@
         return millicores <= capacity.millicores && mebibytes <= capacity.mebibytes
             && accelerators <= capacity.accelerators;
     }
+    /// True if each dimension that is required at all is available; the others may be overcommitted.
+    constexpr bool isCoveredBy(const Resources& available) const
+    {
+        const auto isEnough = [](auto demand, auto have) { return demand.count() <= 0 || demand <= have; };
+        return isEnough(millicores, available.millicores) && isEnough(mebibytes, available.mebibytes)
+            && isEnough(accelerators, available.accelerators);
+    }
     constexpr Resources& operator+=(const Resources& other)
     {
         millicores += other.millicores;
@@ -36,6 +45,19 @@
     {
         return { a.millicores * factor, a.mebibytes * factor, a.accelerators * factor };
     }
+    /// The smaller and the larger amount in each dimension.
+    friend constexpr Resources minOf(const Resources& a, const Resources& b)
+    {
+        return { .millicores = std::min(a.millicores, b.millicores),
+            .mebibytes = std::min(a.mebibytes, b.mebibytes),
+            .accelerators = std::min(a.accelerators, b.accelerators) };
+    }
+    friend constexpr Resources maxOf(const Resources& a, const Resources& b)
+    {
+        return { .millicores = std::max(a.millicores, b.millicores),
+            .mebibytes = std::max(a.mebibytes, b.mebibytes),
+            .accelerators = std::max(a.accelerators, b.accelerators) };
+    }
     friend constexpr bool operator==(const Resources&, const Resources&) = default;
 };
 
--- /dev/null
+++ b/src/workflow/CapacityForecast.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/Resources.h"
+#include "core/Time.h"
+
+namespace hickoryknot::workflow {
+
+struct TrackedRun;
+
+/// What the runs on one worker are expected to release, and when. Answers when a task of a waiting gang will fit, under
+/// loads in which no capacity is free for long. Valid for one planning pass.
+class CapacityForecast {
+public:
+    /// Runs whose end is already being recorded or stopped count as released soon.
+    void build(const std::vector<const TrackedRun*>& runs, TimePoint now);
+    bool isBuilt() const { return m_isBuilt; }
+
+    /// Appends the times at which the first, second and further tasks of this size fit, given what is free now; at most
+    /// `maxTasks`.
+    void findSlots(const Resources& free, const Resources& size, uint32_t maxTasks, TimePoint now,
+        std::vector<TimePoint>& slots) const;
+    /// Claims the earliest capacity for one task: reduces `free`, then the expected releases, which must suffice.
+    /// Returns what it took from `free`.
+    Resources claim(Resources& free, const Resources& size);
+    /// Expected free capacity at a later time.
+    Resources freeAt(Resources free, TimePoint at) const;
+
+private:
+    struct Release {
+        TimePoint at;
+        Resources amount;
+    };
+
+    std::vector<Release> m_releases; // In order of time.
+    bool m_isBuilt { false };
+};
+
+/// Expected end of a run, from its reported progress if there is any, otherwise from the estimated run time.
+TimePoint expectedEnd(const TrackedRun&, TimePoint now);
+
+} // namespace hickoryknot::workflow
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "workflow/RunController.h"
+#include "workflow/StepOrder.h"
 
 namespace hickoryknot::workflow {
 
@@ -22,11 +23,9 @@
 constexpr int64_t maxNamingTimeFactor = 1;
 constexpr size_t minWorkersPerPartialRequest = 20;
 /// Minimum number of workers in a request, including full workers: capacity is released and taken several times before
-/// the response arrives, and the additional workers lengthen the call by at most a third. Objectives allow for one call
-/// of about this size per step. Short calls are frequent and name fewer workers because their responses use links of 2
-/// Mbit/s.
+/// the response arrives, and a step can only wait for capacity on workers that it may use. The additional workers
+/// lengthen the call by at most a third; objectives allow for one call of about this size per step.
 constexpr size_t minNamedWorkersPerStep = 30;
-constexpr size_t minNamedWorkersPerShortCall = 12;
 /// Capacity is reserved during a permission call of at most this fraction of the task's run time. Without the
 /// reservation, queues with long-lived tokens take all capacity before queues that need a token for each step.
 constexpr double shortCallFraction = 0.05;
@@ -39,6 +38,15 @@
 /// Runs of lower priority are preempted for a gang whose latest start is within this time: a stop, a permission request
 /// and a start take up to two seconds. Before that, capacity may become free without preemption.
 constexpr Duration preemptionWindow = 3s;
+/// Tasks of a step that must start within this time reserve the capacity in which they will fit soonest; otherwise less
+/// urgent work takes each part of it as it is released.
+constexpr Duration urgentWindow = 500ms;
+/// A gang whose reservation starts this long before its latest start does not preempt; covers a commit, a call to the
+/// workers and rough estimates.
+constexpr Duration reservationMargin = 500ms;
+/// A task uses capacity that is reserved for a gang if it ends before the gang starts even when it takes this much
+/// longer than estimated.
+constexpr int64_t backfillMarginPercent = 25;
 /// Time for which a step avoids workers on which it failed, even if no other worker fits; about one run time.
 constexpr Duration avoidFailedWorkerFor = 3s;
 /// Runs beyond this progress are not preempted, because stopping them may take almost as long as finishing.
@@ -46,21 +54,15 @@
 
 } // namespace
 
-bool Planner::isBefore(const ReadyStep& a, const ReadyStep& b, TimePoint now)
+void Planner::sortSteps(std::vector<ReadyStep*>& steps, TimePoint now)
 {
-    // Steps that can no longer meet their deadline have little value and would delay the others.
-    const auto lateness = [&](const ReadyStep& step) {
-        return now > step.expiresAt - step.criticalPath ? 2 : now > step.latestStart() ? 1 : 0;
-    };
-    const int lateA = lateness(a);
-    const int lateB = lateness(b);
-    if (lateA != lateB)
-        return lateA < lateB;
-    if (a.queue.priority != b.queue.priority)
-        return a.queue.priority < b.queue.priority;
-    if (a.latestStart() != b.latestStart())
-        return a.latestStart() < b.latestStart();
-    return a.ref < b.ref;
+    std::vector<std::pair<StepOrder, ReadyStep*>> ordered;
+    ordered.reserve(steps.size());
+    for (auto* step : steps)
+        ordered.emplace_back(StepOrder(*step, now), step);
+    std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (size_t i = 0; i < steps.size(); ++i)
+        steps[i] = ordered[i].second;
 }
 
 Planner::Decisions Planner::plan(std::vector<ReadyStep*>& steps, TimePoint now)
@@ -84,7 +86,7 @@
             m_workerByNumber.resize(worker.tracked->number + 1);
         m_workerByNumber[worker.tracked->number] = &worker;
     }
-    std::sort(steps.begin(), steps.end(), [&](const auto* a, const auto* b) { return isBefore(*a, *b, now); });
+    sortSteps(steps, now);
     for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
         m_stepPermissions = &m_permissionTracker.permissionsOf(steps[i]->ref);
         m_stepSize = resourceDemand(*steps[i]->spec);
@@ -109,14 +111,18 @@
 
 bool Planner::fits(const WorkerCapacity& worker, const ReadyStep& step) const
 {
-    // A resource that the task does not use may be overcommitted.
-    const auto isEnough = [](const auto& have, const auto& demand) { return demand.count() <= 0 || demand <= have; };
-    return isEnough(worker.free.millicores, m_stepSize.millicores)
-        && isEnough(worker.free.mebibytes, m_stepSize.mebibytes)
-        && isEnough(worker.free.accelerators, m_stepSize.accelerators)
+    return m_stepSize.isCoveredBy(availableTo(step, worker))
         && (!step.spec->maxPerWorker || fittingTasks(worker, step, 1));
 }
 
+Resources Planner::availableTo(const ReadyStep& step, const WorkerCapacity& worker) const
+{
+    if (worker.reservedFrom == TimePoint::max() || step.spec->isLongRunning)
+        return worker.free;
+    const Duration runTime = step.spec->estimatedRunTime * (100 + backfillMarginPercent) / 100;
+    return m_now + runTime <= worker.reservedFrom ? worker.free + worker.reserved : worker.free;
+}
+
 uint32_t Planner::fittingTasksWithin(
     const WorkerCapacity& worker, const ReadyStep& step, const Resources& free, uint32_t maxTasks) const
 {
@@ -182,6 +188,10 @@
 void Planner::allocate(WorkerCapacity& worker, const ReadyStep& step, size_t task, Decisions& decisions, TimePoint now)
 {
     worker.free -= m_stepSize;
+    // A task that ends before the gang starts has borrowed from the reserved capacity.
+    const Resources borrowed = minOf(maxOf(Resources {} - worker.free, {}), worker.reserved);
+    worker.free += borrowed;
+    worker.reserved -= borrowed;
     ++worker.plannedTaskCounts[step.ref];
     const std::string* permissionToken = m_permissionTracker.token(*m_stepPermissions, *worker.tracked, now);
     decisions.placements.push_back(
@@ -197,10 +207,35 @@
     const size_t before = decisions.placements.size();
     placeTasks(step, candidates(step, now), decisions, now);
     const size_t left = step.tasks.size() - (decisions.placements.size() - before);
-    if (!left || !step.queue.permission.isNeeded)
+    if (!left)
         return;
-    requestPermissionsForTasks(step, decisions, now);
-    reserveNamedWorkers(step, left);
+    if (step.queue.permission.isNeeded) {
+        requestPermissionsForTasks(step, decisions, now);
+        reserveNamedWorkers(step, left);
+    }
+    const bool isUrgent = now < step.latestStart() && now > step.latestStart() - urgentWindow;
+    if (isUrgent)
+        reserveForUrgentTasks(step, left, now);
+}
+
+void Planner::reserveForUrgentTasks(const ReadyStep& step, size_t tasks, TimePoint now)
+{
+    std::vector<WorkerCapacity*> workers;
+    const auto consider = [&](WorkerCapacity& worker) {
+        if (isEligible(worker, step))
+            workers.push_back(&worker);
+    };
+    if (step.queue.permission.isNeeded) {
+        for (const auto& [number, token] : m_stepPermissions->tokens()) {
+            WorkerCapacity* worker = findWorker(number);
+            if (worker && hasValidToken(*worker, now))
+                consider(*worker);
+        }
+    } else {
+        for (auto& worker : m_workers)
+            consider(worker);
+    }
+    reserve(findReservation(step, workers, tasks));
 }
 
 bool Planner::hasShortPermissionCall(const ReadyStep& step)
@@ -211,11 +246,6 @@
         <= shortCallFraction * static_cast<double>(step.spec->estimatedRunTime.count());
 }
 
-size_t Planner::minNamedWorkers(const ReadyStep& step)
-{
-    return hasShortPermissionCall(step) ? minNamedWorkersPerShortCall : minNamedWorkersPerStep;
-}
-
 void Planner::reserveNamedWorkers(const ReadyStep& step, size_t tasks)
 {
     if (!hasShortPermissionCall(step))
@@ -258,13 +288,16 @@
         bool isAllowed;
     };
     std::vector<Option> options;
-    std::vector<Option> full;
+    std::vector<WorkerCapacity*> full;
     const auto demand = static_cast<uint32_t>(step.tasks.size());
     for (auto& worker : m_workers) {
         if (!isEligible(worker, step) || hasValidToken(worker, now))
             continue;
         const uint32_t capacity = worker.isReserved || !fits(worker, step) ? 0 : fittingTasks(worker, step, demand);
-        (capacity ? options : full).push_back({ &worker, capacity, isAllowed(worker) });
+        if (capacity)
+            options.push_back({ &worker, capacity, isAllowed(worker) });
+        else if (!worker.isReserved)
+            full.push_back(&worker);
     }
     // Without any free capacity, tokens would expire before they are used.
     if (options.empty())
@@ -286,19 +319,38 @@
         expected += option.capacity * (option.isAllowed ? 1 : grantedFraction);
         named.push_back(option.worker);
     }
-    // Full workers with the most free capacity first, since they are the first to fit a task again.
-    std::sort(full.begin(), full.end(), [](const Option& a, const Option& b) {
-        if (a.isAllowed != b.isAllowed)
-            return a.isAllowed;
-        if (a.worker->free.millicores != b.worker->free.millicores)
-            return a.worker->free.millicores > b.worker->free.millicores;
-        return a.worker < b.worker;
-    });
-    for (size_t i = 0; i < full.size() && named.size() < minNamedWorkers(step); ++i)
-        named.push_back(full[i].worker);
+    nameFullWorkers(full, named);
     requestPermissions(step, named, decisions);
 }
 
+// Adds the full workers on which a task will fit soonest, allowed ones first.
+void Planner::nameFullWorkers(const std::vector<WorkerCapacity*>& full, std::vector<WorkerCapacity*>& named)
+{
+    if (named.size() >= minNamedWorkersPerStep)
+        return;
+    struct Option {
+        WorkerCapacity* worker;
+        bool isAllowed;
+        TimePoint fitsAt;
+    };
+    std::vector<Option> options;
+    std::vector<TimePoint> slots;
+    for (auto* worker : full) {
+        slots.clear();
+        forecastOf(*worker).findSlots(worker->free, m_stepSize, 1, m_now, slots);
+        options.push_back({ worker, isAllowed(*worker), slots.empty() ? TimePoint::max() : slots.front() });
+    }
+    const size_t count = std::min(options.size(), minNamedWorkersPerStep - named.size());
+    std::partial_sort(options.begin(), options.begin() + static_cast<std::ptrdiff_t>(count), options.end(),
+        [](const Option& a, const Option& b) {
+            if (a.isAllowed != b.isAllowed)
+                return a.isAllowed;
+            return a.fitsAt != b.fitsAt ? a.fitsAt < b.fitsAt : a.worker < b.worker;
+        });
+    for (size_t i = 0; i < count; ++i)
+        named.push_back(options[i].worker);
+}
+
 void Planner::requestPermissions(const ReadyStep& step, const std::vector<WorkerCapacity*>& named, Decisions& decisions)
 {
     if (named.empty())
@@ -318,25 +370,37 @@
     m_stepPermissions = &m_permissionTracker.permissionsOf(step.ref);
 }
 
-// The set of allowed workers never changes, so every response also serves later decisions about the step.
+// The set of allowed workers never changes, so every response also serves later decisions about the step. Names the
+// workers on which most tasks will fit when the tokens arrive and while they are valid.
 void Planner::requestPermissionsForGang(
-    const ReadyStep& step, std::vector<WorkerCapacity*> unknown, double expected, Decisions& decisions)
+    const ReadyStep& step, const std::vector<WorkerCapacity*>& unknown, double expected, Decisions& decisions)
 {
-    std::sort(unknown.begin(), unknown.end(), [](const WorkerCapacity* a, const WorkerCapacity* b) {
-        if (a->free.millicores != b->free.millicores)
-            return a->free.millicores > b->free.millicores;
-        return a < b;
+    const auto& cost = step.queue.permission;
+    const TimePoint usedAt
+        = m_now + cost.perCall + cost.perWorker * static_cast<int64_t>(minNamedWorkersPerStep) + cost.validity / 2;
+    struct Option {
+        WorkerCapacity* worker;
+        Millicores free;
+    };
+    std::vector<Option> options;
+    options.reserve(unknown.size());
+    for (auto* worker : unknown)
+        options.push_back({ worker, forecastOf(*worker).freeAt(worker->free, usedAt).millicores });
+    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
+        if (a.free != b.free)
+            return a.free > b.free;
+        return a.worker < b.worker;
     });
     const double grantedFraction = m_permissionTracker.grantedFraction(step.queue.name);
     const double wanted = gangSurplusFactor * static_cast<double>(step.tasks.size());
     std::vector<WorkerCapacity*> named;
-    for (auto* worker : unknown) {
-        if (expected >= wanted && named.size() >= minNamedWorkers(step))
+    for (const auto& option : options) {
+        if (expected >= wanted && named.size() >= minNamedWorkersPerStep)
             break;
-        const uint32_t capacity = fittingTasksWhenEmpty(*worker, step);
+        const uint32_t capacity = fittingTasksWhenEmpty(*option.worker, step);
         expected += grantedFraction * capacity;
         if (capacity)
-            named.push_back(worker);
+            named.push_back(option.worker);
     }
     requestPermissions(step, named, decisions);
 }
@@ -352,13 +416,10 @@
 
 void Planner::prepareGang(const ReadyStep& step, Decisions& decisions, TimePoint now)
 {
-    const auto demand = static_cast<uint32_t>(step.tasks.size());
     const bool needsPermission = step.queue.permission.isNeeded;
     std::vector<WorkerCapacity*> unknown;
     std::vector<WorkerCapacity*> allowed;
-    std::vector<WorkerCapacity*> fitting;
     double capacityOfAllowed = 0; // With nothing else running on them.
-    uint64_t freeCapacity = 0;
     for (auto& worker : m_workers) {
         if (!isEligible(worker, step))
             continue;
@@ -368,46 +429,86 @@
         }
         allowed.push_back(&worker);
         capacityOfAllowed += fittingTasksWhenEmpty(worker, step);
-        if (!worker.isReserved && fits(worker, step)) {
-            fitting.push_back(&worker);
-            freeCapacity += fittingTasks(worker, step, demand);
-        }
     }
     const bool mayRequest = needsPermission && m_permissionTracker.mayRequest(step.ref, now);
     if (needsPermission && !m_stepPermissions->hasResponses()) {
         if (mayRequest)
-            requestPermissionsForGang(step, std::move(unknown), 0, decisions);
-        return;
-    }
-    if (freeCapacity >= demand) {
-        // Workers with a valid token first, then those with the most capacity.
-        std::sort(fitting.begin(), fitting.end(), [&](const WorkerCapacity* a, const WorkerCapacity* b) {
-            if (hasValidToken(*a, now) != hasValidToken(*b, now))
-                return hasValidToken(*a, now);
-            const uint32_t capacityA = fittingTasks(*a, step, demand);
-            const uint32_t capacityB = fittingTasks(*b, step, demand);
-            return capacityA != capacityB ? capacityA > capacityB : a < b;
-        });
-        std::vector<WorkerCapacity*> used;
-        uint32_t capacity = 0;
-        for (size_t i = 0; i < fitting.size() && capacity < demand; ++i) {
-            capacity += fittingTasks(*fitting[i], step, demand - capacity);
-            used.push_back(fitting[i]);
-        }
-        // The gang fits, but some tokens have expired. Reserves the workers until the response arrives.
-        for (auto* worker : used)
-            worker->isReserved = true;
-        // Capacity may move between workers in the meantime, and naming further workers is cheap compared with a call.
-        if (mayRequest)
-            requestPermissions(step, allowed, decisions);
+            requestPermissionsForGang(step, unknown, 0, decisions);
         return;
     }
+    const bool mayReserve = m_reservingGangs < std::max(minReservingGangs, m_workers.size() / workersPerReservingGang);
+    const auto reservation = mayReserve ? findReservation(step, allowed, step.tasks.size()) : Reservation {};
+    const bool isComplete = reservation.workers.size() == step.tasks.size();
+    const bool fitsNow = isComplete && reservation.startsAt <= now;
     // Too few workers were named in earlier requests, or new workers have joined.
-    if (mayRequest && capacityOfAllowed < gangSurplusFactor * demand)
-        requestPermissionsForGang(step, std::move(unknown), capacityOfAllowed, decisions);
+    if (!fitsNow && mayRequest && capacityOfAllowed < gangSurplusFactor * static_cast<double>(step.tasks.size()))
+        requestPermissionsForGang(step, unknown, capacityOfAllowed, decisions);
     const bool isUrgent = now > step.latestStart() - preemptionWindow && now < step.latestStart();
-    if (!isUrgent || !preemptForGang(step, decisions, now))
-        reserveForGang(step);
+    const bool isInTime = isComplete && reservation.startsAt + reservationMargin <= step.latestStart();
+    if (isUrgent && !isInTime && preemptForGang(step, decisions, now))
+        return;
+    if (!isComplete)
+        return;
+    ++m_reservingGangs;
+    if (mayRequest)
+        renewTokens(step, reservation, allowed, decisions);
+    reserve(reservation);
+}
+
+CapacityForecast& Planner::forecastOf(WorkerCapacity& worker)
+{
+    if (!worker.forecast.isBuilt())
+        worker.forecast.build(m_runController.runsOn(worker.tracked->incarnation()), m_now);
+    return worker.forecast;
+}
+
+Planner::Reservation Planner::findReservation(
+    const ReadyStep& step, const std::vector<WorkerCapacity*>& workers, size_t tasks)
+{
+    struct Slot {
+        TimePoint at;
+        WorkerCapacity* worker;
+    };
+    std::vector<Slot> slots;
+    std::vector<TimePoint> times;
+    for (auto* worker : workers) {
+        if (worker->isReserved)
+            continue;
+        times.clear();
+        const uint32_t mostTasks = std::min(fittingTasksWhenEmpty(*worker, step), static_cast<uint32_t>(tasks));
+        forecastOf(*worker).findSlots(worker->free, m_stepSize, mostTasks, m_now, times);
+        for (const TimePoint at : times)
+            slots.push_back({ at, worker });
+    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(tasks, slots.size()));
+    const auto isSooner = [](const Slot& a, const Slot& b) { return a.at != b.at ? a.at < b.at : a.worker < b.worker; };
+    std::partial_sort(slots.begin(), slots.begin() + count, slots.end(), isSooner);
+    slots.resize(static_cast<size_t>(count));
+    Reservation reservation { .startsAt = slots.empty() ? TimePoint::max() : slots.back().at, .workers = {} };
+    for (const auto& slot : slots)
+        reservation.workers.push_back(slot.worker);
+    return reservation;
+}
+
+void Planner::reserve(const Reservation& reservation)
+{
+    for (auto* worker : reservation.workers) {
+        worker->reserved += forecastOf(*worker).claim(worker->free, m_stepSize);
+        worker->reservedFrom = std::min(worker->reservedFrom, reservation.startsAt);
+    }
+}
+
+void Planner::renewTokens(const ReadyStep& step, const Reservation& reservation,
+    const std::vector<WorkerCapacity*>& allowed, Decisions& decisions)
+{
+    const auto& cost = step.queue.permission;
+    const Duration callTime = cost.perCall + cost.perWorker * static_cast<int64_t>(allowed.size());
+    const bool areTokensValid = std::all_of(reservation.workers.begin(), reservation.workers.end(),
+        [&](const WorkerCapacity* worker) { return hasValidToken(*worker, std::max(m_now, reservation.startsAt)); });
+    if (areTokensValid || reservation.startsAt > m_now + callTime)
+        return;
+    // Capacity may move between workers in the meantime, and naming further workers is cheap compared with a call.
+    requestPermissions(step, allowed, decisions);
 }
 
 bool Planner::placeGang(
@@ -537,38 +638,4 @@
     return true;
 }
 
-void Planner::reserveForGang(const ReadyStep& step)
-{
-    if (m_reservingGangs >= std::max(minReservingGangs, m_workers.size() / workersPerReservingGang))
-        return;
-    ++m_reservingGangs;
-    // Selects the workers on which most of the gang fits soonest. A heap suffices because few of many workers are
-    // taken.
-    struct Option {
-        WorkerCapacity* worker;
-        bool isAllowed;
-        Millicores free;
-    };
-    std::vector<Option> options;
-    options.reserve(m_workers.size());
-    for (auto& worker : m_workers) {
-        if (!worker.isReserved && isEligible(worker, step))
-            options.push_back({ &worker, isAllowed(worker), worker.free.millicores });
-    }
-    const auto comesLater = [](const Option& a, const Option& b) {
-        if (a.isAllowed != b.isAllowed)
-            return b.isAllowed;
-        return a.free != b.free ? a.free < b.free : a.worker > b.worker;
-    };
-    std::make_heap(options.begin(), options.end(), comesLater);
-    const auto size = std::max<int64_t>(1, m_stepSize.millicores.count());
-    for (int64_t capacity = 0; !options.empty() && capacity < static_cast<int64_t>(step.tasks.size());) {
-        std::pop_heap(options.begin(), options.end(), comesLater);
-        WorkerCapacity* worker = options.back().worker;
-        options.pop_back();
-        capacity += std::max<int64_t>(0, worker->tracked->profile.capacity.millicores.count() / size);
-        worker->isReserved = true;
-    }
-}
-
 } // namespace hickoryknot::workflow
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "workflow/CapacityForecast.h"
 #include "workflow/PermissionTracker.h"
 #include "workflow/ReadyStep.h"
 #include "workflow/WorkerTracker.h"
@@ -14,9 +15,11 @@
 struct TrackedRun;
 
 /// Decides which ready tasks start on which workers. For overload, when more work is ready than fits, steps are ordered
-/// by lateness (steps that can no longer meet their deadline come last), then queue priority, then latest start time.
+/// by StepOrder.
 /// Small tasks are packed onto the fullest workers, which leaves contiguous capacity for large tasks and gangs. A gang
-/// that does not fit preempts checkpointing tasks of lower priority and reserves the workers that it waits for.
+/// that does not fit reserves the capacity in which all its tasks will fit soonest, by the expected ends of the runs
+/// there; work that ends before then may still use that capacity. Close to its latest start, a gang preempts
+/// checkpointing tasks of lower priority.
 class Planner {
 public:
     Planner(WorkerTracker& workerTracker, PermissionTracker& permissionTracker, const RunController& runController)
@@ -50,8 +53,18 @@
         Resources free; // Less what this pass has placed or reserved.
         size_t pool; // Index into m_pools.
         std::map<StepRef, uint32_t> plannedTaskCounts;
-        /// Reserved for a gang that comes earlier in the order; later steps may not use it.
+        /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
+        /// Free capacity that is reserved for steps which come earlier. Only tasks that are expected to end before
+        /// `reservedFrom` may use it.
+        Resources reserved {};
+        TimePoint reservedFrom { TimePoint::max() };
+        CapacityForecast forecast {};
+    };
+    /// When and where tasks of a step are expected to fit.
+    struct Reservation {
+        TimePoint startsAt; // When all of them fit.
+        std::vector<WorkerCapacity*> workers; // One entry for each task, soonest first.
     };
     /// A worker on which tasks of a gang fit once the victims have ended.
     struct PreemptionOption {
@@ -61,14 +74,16 @@
         double cost { 0 }; // Preempted millicores per task that fits.
     };
 
-    static bool isBefore(const ReadyStep&, const ReadyStep&, TimePoint now);
+    static void sortSteps(std::vector<ReadyStep*>&, TimePoint now);
     static bool isPreemptible(const TrackedRun&, const ReadyStep&);
     uint32_t fittingTasksWithin(
         const WorkerCapacity&, const ReadyStep&, const Resources& free, uint32_t maxTasks) const;
     uint32_t fittingTasks(const WorkerCapacity& worker, const ReadyStep& step, uint32_t maxTasks) const
     {
-        return fittingTasksWithin(worker, step, worker.free, maxTasks);
+        return fittingTasksWithin(worker, step, availableTo(step, worker), maxTasks);
     }
+    /// Free capacity, with what is reserved for a gang if a task that starts now ends before the gang starts.
+    Resources availableTo(const ReadyStep&, const WorkerCapacity&) const;
     /// True if at least one task of the step fits.
     bool fits(const WorkerCapacity&, const ReadyStep&) const;
     /// True if pool, label, denials and earlier failures let the step run there; ignores free capacity and tokens.
@@ -91,8 +106,6 @@
     void allocate(WorkerCapacity&, const ReadyStep&, size_t task, Decisions&, TimePoint now);
     /// True if capacity may stay reserved while the permission request for the step is pending.
     static bool hasShortPermissionCall(const ReadyStep&);
-    /// Minimum number of workers to name in a permission request for the step.
-    static size_t minNamedWorkers(const ReadyStep&);
     /// Reserves capacity for `tasks` tasks on workers named in pending permission requests, so that later steps cannot
     /// take it.
     void reserveNamedWorkers(const ReadyStep&, size_t tasks);
@@ -100,7 +113,15 @@
     void planGang(const ReadyStep&, Decisions&, TimePoint now);
     /// Prepares a gang that cannot start yet: requests permissions, and reserves capacity or preempts runs.
     void prepareGang(const ReadyStep&, Decisions&, TimePoint now);
+    CapacityForecast& forecastOf(WorkerCapacity&);
+    /// Finds the capacity in which `tasks` tasks, or as many as these workers can hold, fit soonest.
+    Reservation findReservation(const ReadyStep&, const std::vector<WorkerCapacity*>& workers, size_t tasks);
+    void reserve(const Reservation&);
+    void reserveForUrgentTasks(const ReadyStep&, size_t tasks, TimePoint now);
+    /// Requests new tokens for reserved workers so that they arrive when the gang can start.
+    void renewTokens(const ReadyStep&, const Reservation&, const std::vector<WorkerCapacity*>& allowed, Decisions&);
     void requestPermissionsForTasks(const ReadyStep&, Decisions&, TimePoint now);
+    void nameFullWorkers(const std::vector<WorkerCapacity*>& full, std::vector<WorkerCapacity*>& named);
     /// Requests permissions for all given workers, split into the number of calls with the shortest total time.
     void requestPermissions(const ReadyStep&, const std::vector<WorkerCapacity*>&, Decisions&);
     /// Tasks of the step that fit on the worker when nothing else runs there.
@@ -109,10 +130,10 @@
         return fittingTasksWithin(
             worker, step, worker.tracked->profile.capacity, static_cast<uint32_t>(step.tasks.size()));
     }
-    void requestPermissionsForGang(const ReadyStep&, std::vector<WorkerCapacity*> unknown, double expected, Decisions&);
+    void requestPermissionsForGang(
+        const ReadyStep&, const std::vector<WorkerCapacity*>& unknown, double expected, Decisions&);
     bool preemptForGang(const ReadyStep&, Decisions&, TimePoint now);
     PreemptionOption findPreemption(WorkerCapacity&, const ReadyStep&) const;
-    void reserveForGang(const ReadyStep&);
 
     WorkerTracker& m_workerTracker;
     PermissionTracker& m_permissionTracker;
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -74,8 +74,8 @@
 void RunController::recordUnacknowledgedStart(TrackedRun& run, TimePoint now)
 {
     run.hasUnacknowledgedStart = true;
-    const TimePoint until = now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease)
-        + m_settings.leaseMargin;
+    const TimePoint until
+        = now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin;
     run.unacknowledgedUntil = std::max(run.unacknowledgedUntil.value_or(until), until);
 }
 
@@ -87,7 +87,7 @@
     run.spec = spec;
     run.isGang = spec.isGang;
     run.maxExecutionDelay = maxExecutionDelay;
-    m_runsByIncarnation[incarnation].insert(ref);
+    m_runsByIncarnation[incarnation].emplace(ref, &run);
     m_unsettledRuns.insert(ref);
     if (TrackedWorker* worker = m_workerTracker.find(incarnation))
         WorkerTracker::allocate(*worker, ref.task.step, spec);
@@ -140,8 +140,9 @@
     const auto entry = m_runsByIncarnation.find(incarnation);
     if (entry == m_runsByIncarnation.end())
         return runs;
-    for (const auto& ref : entry->second)
-        runs.push_back(&m_runs.at(ref));
+    runs.reserve(entry->second.size());
+    for (const auto& [ref, run] : entry->second)
+        runs.push_back(run);
     return runs;
 }
 
@@ -330,13 +331,12 @@
         = isIncarnationOver && next && next->incarnation().startTimeMs > incarnation.startTimeMs;
     // Another worker took over the address and rejects requests for this one.
     const bool isReplacedAtAddress = worker.isSuperseded && !hasNextIncarnation;
-    const auto& refs = m_runsByIncarnation.at(incarnation);
-    const std::vector<RunRef> runs(refs.begin(), refs.end());
-    for (const auto& ref : runs) {
-        const auto found = m_runs.find(ref);
-        if (found == m_runs.end() || !found->second.maySend())
+    // A copy, because a run may move to the next incarnation.
+    const auto runs = m_runsByIncarnation.at(incarnation);
+    for (const auto& [ref, tracked] : runs) {
+        if (!tracked->maySend())
             continue;
-        TrackedRun& run = found->second;
+        TrackedRun& run = *tracked;
         // Unsent runs can be placed elsewhere immediately.
         if (run.phase == TrackedRun::Phase::Unsent && (isIncarnationOver || isUnreachable))
             finish(run, RunOutcome::NeverStarted, {}, now);
@@ -356,7 +356,7 @@
 {
     releaseCapacity(run);
     run.incarnation = next.incarnation();
-    m_runsByIncarnation[run.incarnation].insert(run.run);
+    m_runsByIncarnation[run.incarnation].emplace(run.run, &run);
     WorkerTracker::allocate(next, run.run.task.step, run.spec);
     next.leaseEnd = std::max(next.leaseEnd,
         now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin);
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -124,7 +124,7 @@
     WorkerTracker& m_workerTracker;
     uint64_t m_fence { 0 };
     std::map<RunRef, TrackedRun> m_runs;
-    std::map<WorkerIncarnation, std::set<RunRef>> m_runsByIncarnation;
+    std::map<WorkerIncarnation, std::map<RunRef, TrackedRun*>> m_runsByIncarnation; // Points into m_runs.
     /// Runs that each call of advance() must check.
     std::set<RunRef> m_unsettledRuns;
     std::map<RunRef, OrphanRun> m_orphans;
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -198,9 +198,8 @@
     const auto entry = m_runsByIncarnation.find(worker.incarnation());
     if (entry == m_runsByIncarnation.end())
         return;
-    const std::vector<RunRef> runs(entry->second.begin(), entry->second.end());
-    for (const auto& ref : runs) {
-        TrackedRun& run = m_runs.at(ref);
+    for (const auto& [ref, tracked] : entry->second) {
+        TrackedRun& run = *tracked;
         if (reported.contains(ref) || !run.maySend())
             continue;
         // This poll raised the fence, so starts of earlier leaders are rejected from now on.
--- /dev/null
+++ b/src/workflow/StepOrder.cpp
@@ -0,0 +1,18 @@
+#include "workflow/StepOrder.h"
+
+#include "workflow/ReadyStep.h"
+
+namespace hickoryknot::workflow {
+
+StepOrder::StepOrder(const ReadyStep& step, TimePoint now)
+    : m_isExpired(now > step.expiresAt - step.criticalPath)
+    , m_level(step.queue.priority)
+    , m_isLate(now > step.latestStart())
+    , m_latestStart(step.latestStart())
+    , m_ref(&step.ref)
+{
+    if (m_isLate)
+        ++m_level;
+}
+
+} // namespace hickoryknot::workflow
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -32,8 +32,9 @@
     bool hasUnacknowledgedStart { false }; // A start is unacknowledged and may still be executed.
     /// Longest delay after which a worker executes a start of this run; at most the validity of its permission token.
     Duration maxExecutionDelay { 0 };
-    /// Some start was unacknowledged. Requests name the worker and not its incarnation, and a token may have been granted
-    /// to the next incarnation, so until this time the run may occupy the addressed incarnation or any later one.
+    /// Some start was unacknowledged. Requests name the worker and not its incarnation, and a token may have been
+    /// granted to the next incarnation, so until this time the run may occupy the addressed incarnation or any later
+    /// one.
     std::optional<TimePoint> unacknowledgedUntil;
     bool isCallInFlight { false };
     bool isStopRequested { false };
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "workflow/SchedulerObserver.h"
+#include "workflow/StepOrder.h"
 #include "workflow/WorkflowState.h"
 
 namespace hickoryknot::workflow {
@@ -62,7 +63,6 @@
     m_changedWorkflows.clear();
     m_trackedWorkflows.clear();
     m_readySteps.clear();
-    m_load.workByPriority.clear();
     m_pendingByQueue.clear();
     m_timedWorkflows.clear();
     m_nextOccurrenceMs.clear();
@@ -225,8 +225,6 @@
     for (const auto& step : tracked.ready)
         m_readySteps.erase(step);
     tracked.ready.clear();
-    m_load.workByPriority[tracked.priority] -= tracked.readyWork;
-    tracked.readyWork = 0;
     if (std::exchange(tracked.isPending, false))
         --m_pendingByQueue[tracked.queue];
 }
@@ -322,15 +320,10 @@
             ready.readySince = tracked.readySince.try_emplace(ref, now).first->second;
             if (const auto failed = tracked.failedWorkers.find(ref); failed != tracked.failedWorkers.end())
                 ready.avoidedWorkers = failed->second;
-            if (!spec.usesSpareCapacity && !spec.isLongRunning)
-                tracked.readyWork += static_cast<double>(ready.tasks.size())
-                    * static_cast<double>(spec.perTask.millicores.count())
-                    * static_cast<double>(spec.estimatedRunTime.count());
             tracked.ready.push_back(ref);
             m_readySteps.insert_or_assign(ref, std::move(ready));
         }
     }
-    m_load.workByPriority[tracked.priority] += tracked.readyWork;
 }
 
 // Returns the tasks whose dependencies are done and that are neither placed nor being placed; for a gang, all tasks or
@@ -509,7 +502,22 @@
 std::optional<Duration> WorkflowScheduler::checkAdmission(
     const Queue& queue, const WorkflowSpec& spec, double jitter, TimePoint now) const
 {
-    return m_admissionController.checkAdmission(queue, spec, m_load, m_workerTracker.capacity(queue.pool, now), jitter);
+    return m_admissionController.checkAdmission(
+        queue, spec, waitingLoad(now), m_workerTracker.capacity(queue.pool, now), jitter);
+}
+
+// Late work counts at the level that it competes with: a new workflow does not wait for late work of its own priority.
+AdmissionController::Load WorkflowScheduler::waitingLoad(TimePoint now) const
+{
+    AdmissionController::Load load;
+    for (const auto& [ref, step] : m_readySteps) {
+        const StepSpec& spec = *step.spec;
+        if (spec.usesSpareCapacity || spec.isLongRunning)
+            continue;
+        load.workByPriority[StepOrder(step, now).level()] += static_cast<double>(step.tasks.size())
+            * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimatedRunTime.count());
+    }
+    return load;
 }
 
 size_t WorkflowScheduler::pendingWorkflows(const QueueName& queue) const
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -83,7 +83,6 @@
         std::vector<StepRef> ready;
         std::map<StepRef, TimePoint> readySince;
         std::map<StepRef, std::set<WorkerId>> failedWorkers;
-        double readyWork { 0 }; // Estimated work of the ready tasks in millicore-microseconds.
         uint32_t priority { 0 };
         TimePoint acceptedAt;
         bool isPending { false };
@@ -105,6 +104,7 @@
     void recordWorkers(std::vector<WorkflowCommand>&);
     void removeStaleWorkers(std::vector<WorkflowCommand>&, TimePoint now);
     void removeEndedWorkflows(std::vector<WorkflowCommand>&, TimePoint now);
+    AdmissionController::Load waitingLoad(TimePoint now) const;
     void placeReadySteps(Output&, Batch&, TimePoint now);
     void reportPlacements(const std::vector<Planner::Placement>&, TimePoint now);
 
@@ -123,7 +123,6 @@
     std::set<WorkflowId> m_changedWorkflows;
     std::map<WorkflowId, TrackedWorkflow> m_trackedWorkflows;
     std::map<StepRef, ReadyStep> m_readySteps;
-    AdmissionController::Load m_load;
     std::map<QueueName, size_t> m_pendingByQueue;
     /// Timed workflows by wall-clock time of the next occurrence in milliseconds.
     std::set<std::pair<int64_t, WorkflowId>> m_timedWorkflows;
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -285,7 +285,8 @@
         place(m_run);
         respond(start(), WorkerRequestStatus::NoResponse);
         m_runController.onPollResponse(m_poll, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
-        // The unacknowledged start may be executed 12 s later, by an incarnation that grants the whole lease from then on.
+        // The unacknowledged start may be executed 12 s later, by an incarnation that grants the whole lease from then
+        // on.
         const TimePoint sentAt = m_now;
         const Duration lastRun = 12s + WorkerClock::maxRealTime(m_settings.maxLease);
         const TimePoint until = sentAt + lastRun + m_settings.leaseMargin + 200ms;
@@ -413,8 +414,8 @@
         m_runController.onPlacementCommitted(m_run, true, m_now);
     }
 
-    // Guards against two runs of one task: the worker restarted while its token was on the way, so the token was for the
-    // next incarnation, which executed the unacknowledged start. Found with seed 9 of the soak test.
+    // Guards against two runs of one task: the worker restarted while its token was on the way, so the token was for
+    // the next incarnation, which executed the unacknowledged start. Found with seed 9 of the soak test.
     void startWithPermissionIsStoppedOnTheNextIncarnation()
     {
         begin();
@@ -448,8 +449,8 @@
         return m_now - sentAt;
     }
 
-    // Guards against two runs of one task: a start may be executed 12 s late, and by an incarnation that the leader does
-    // not know and whose clock, restarted, grants the whole lease from then on.
+    // Guards against two runs of one task: a start may be executed 12 s late, and by an incarnation that the leader
+    // does not know and whose clock, restarted, grants the whole lease from then on.
     void unacknowledgedStartOutlivesTheLeaseOfASilentWorker()
     {
         begin();
