Bound the decision log by workflow and class instead of dropping lines whatever they say

Change: LogBudget. Refusals (now with the expected wait and the slack that decided), cancellations, stops, failures and unsuccessful ends come first; of the ordinary course of a workflow all lines are written or none, paid for at its acceptance; what is left out is counted by event.

Admission counts only the work that starts before a new workflow: work of its level with an earlier latest start, not work that can wait longer, and not late work. AdmissionControllerTest has both cases; they fail with the sum by priority.

--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -8,12 +8,8 @@
 
 namespace {
 
-/// Minimum time between two log lines that report dropped lines.
+/// Minimum time between two log lines that report lines left out.
 constexpr Duration summaryPeriod = 1s;
-/// Rate and burst of the log's token bucket. 60 workflows per second write about 200 lines per second, and a line takes
-/// about 20 us of CPU time.
-constexpr double maxLinesPerSecond = 300;
-constexpr double maxBurstLines = 600;
 
 std::string milliseconds(Duration duration) { return std::to_string(duration / 1ms); }
 
@@ -33,38 +29,42 @@
     , m_waitTime(m_metrics.latency("hickoryknot_task_wait_seconds", "From ready to placed"))
     , m_workflowTime(m_metrics.latency("hickoryknot_workflow_seconds", "From acceptance to the final state"))
     , m_permissionTime(m_metrics.latency("hickoryknot_permission_seconds", "Calls to the permission service"))
-    , m_tokens(maxBurstLines)
 {
 }
 
-void DecisionLog::write(EventLevel level, Event event, std::string_view message, EventLog::Fields fields)
+void DecisionLog::writeOrdinary(const WorkflowId& id, Event event, std::string_view message, EventLog::Fields fields)
 {
-    if (m_tokens < 1) {
-        ++m_droppedLines;
-        return;
-    }
-    m_tokens -= 1;
-    EventLog::write(level, event, message, fields);
+    if (m_budget.takeOrdinary(event, id))
+        EventLog::write(EventLevel::Info, event, message, fields);
+}
+
+void DecisionLog::writeEssential(Event event, std::string_view message, EventLog::Fields fields)
+{
+    if (m_budget.takeEssential(event))
+        EventLog::write(EventLevel::Info, event, message, fields);
 }
 
 void DecisionLog::tick(TimePoint now)
 {
-    const Duration elapsed = std::clamp<Duration>(now - m_lastRefill, Duration(0), 10s);
-    m_lastRefill = now;
-    m_tokens = std::min(maxBurstLines, m_tokens + maxLinesPerSecond * static_cast<double>(elapsed.count()) / 1e6);
-    if (!m_droppedLines || m_tokens < 1 || now < m_nextSummary)
+    m_budget.refill(now);
+    if (!m_budget.hasLeftOut() || now < m_nextSummary)
         return;
     m_nextSummary = now + summaryPeriod;
-    const uint64_t count = std::exchange(m_droppedLines, 0);
-    write(EventLevel::Warning, Event::LinesLeftOut, "log lines were dropped by the rate limit",
-        { { "count", std::to_string(count) } });
+    uint64_t total = 0;
+    std::string byEvent;
+    for (const auto& [event, count] : m_budget.drainLeftOut()) {
+        total += count;
+        byEvent += (byEvent.empty() ? "" : " ") + std::string(eventName(event)) + "=" + std::to_string(count);
+    }
+    EventLog::write(EventLevel::Warning, Event::LinesLeftOut, "log lines were left out to bound the log",
+        { { "count", std::to_string(total) }, { "byEvent", byEvent } });
 }
 
 void DecisionLog::onTasksPlaced(const StepRef& step, size_t tasks, size_t workers, Duration waitTime, Duration slack)
 {
     m_metrics.add(m_placed, tasks);
     m_metrics.record(m_waitTime, waitTime);
-    write(EventLevel::Info, Event::TaskPlaced, "placed tasks of a step",
+    writeOrdinary(step.workflow, Event::TaskPlaced, "placed tasks of a step",
         { { "step", describe(step) }, { "tasks", std::to_string(tasks) }, { "workers", std::to_string(workers) },
             { "waitedMs", milliseconds(waitTime) }, { "slackMs", milliseconds(slack) } });
 }
@@ -72,7 +72,7 @@
 void DecisionLog::onStopRequested(const RunRef& run, const char* reason)
 {
     m_metrics.add(m_stopped);
-    write(EventLevel::Info, Event::TaskStopped, "requested the stop of a run",
+    writeEssential(Event::TaskStopped, "requested the stop of a run",
         { { "task", describe(run.task) }, { "run", std::to_string(run.run) }, { "reason", reason } });
 }
 
@@ -81,7 +81,7 @@
     if (end == RunOutcome::Done)
         return;
     m_metrics.add(m_ended);
-    write(EventLevel::Info, Event::TaskEnded, "a run ended without completing",
+    writeEssential(Event::TaskEnded, "a run ended without completing",
         { { "task", describe(run.task) }, { "run", std::to_string(run.run) }, { "worker", incarnation.worker.value() },
             { "how", runOutcomeName(end) } });
 }
@@ -93,30 +93,38 @@
     if (record.phase == WorkflowPhase::Failed)
         m_metrics.add(m_failed);
     m_metrics.record(m_workflowTime, age);
-    write(EventLevel::Info, Event::JobFinished, "a workflow reached its final state",
-        { { "workflow", record.id.value() }, { "queue", record.queue.value() },
-            { "state", workflowPhaseName(record.phase) }, { "ageMs", milliseconds(age) } });
+    const EventLog::Fields fields { { "workflow", record.id.value() }, { "queue", record.queue.value() },
+        { "state", workflowPhaseName(record.phase) }, { "ageMs", milliseconds(age) } };
+    if (record.phase == WorkflowPhase::Completed)
+        writeOrdinary(record.id, Event::JobFinished, "a workflow reached its final state", fields);
+    else
+        writeEssential(Event::JobFinished, "a workflow reached its final state", fields);
+    m_budget.end(record.id);
 }
 
 void DecisionLog::onAccepted(const WorkflowId& id, const QueueName& queue, Duration commitTime)
 {
     m_metrics.add(m_accepted);
     m_metrics.record(m_commitTime, commitTime);
-    write(EventLevel::Info, Event::JobAccepted, "a workflow was accepted and committed",
+    m_budget.begin(id);
+    writeOrdinary(id, Event::JobAccepted, "a workflow was accepted and committed",
         { { "workflow", id.value() }, { "queue", queue.value() }, { "commitMs", milliseconds(commitTime) } });
 }
 
-void DecisionLog::onRefused(const WorkflowId& id, const QueueName& queue, Duration retryAfter)
+void DecisionLog::onRefused(
+    const WorkflowId& id, const QueueName& queue, const AdmissionController::Rejection& rejection)
 {
     m_metrics.add(m_refused);
-    write(EventLevel::Info, Event::RequestNotRun, "refused a workflow: the queued work exceeds what can end in time",
-        { { "workflow", id.value() }, { "queue", queue.value() }, { "returnAfterMs", milliseconds(retryAfter) } });
+    writeEssential(Event::RequestNotRun, "refused a workflow: the queued work exceeds what can end in time",
+        { { "workflow", id.value() }, { "queue", queue.value() },
+            { "expectedWaitMs", milliseconds(rejection.expectedWait) }, { "slackMs", milliseconds(rejection.slack) },
+            { "returnAfterMs", milliseconds(rejection.retryAfter) } });
 }
 
 void DecisionLog::onCancelled(const WorkflowId& id)
 {
     m_metrics.add(m_cancelled);
-    write(EventLevel::Info, Event::JobCancelled, "a caller cancelled a workflow", { { "workflow", id.value() } });
+    writeEssential(Event::JobCancelled, "a caller cancelled a workflow", { { "workflow", id.value() } });
 }
 
 void DecisionLog::onPermissionResponse(
@@ -124,7 +132,7 @@
 {
     m_metrics.add(m_permissionCalls);
     m_metrics.record(m_permissionTime, callTime);
-    write(EventLevel::Info, Event::PermissionAnswered, "received a response from the permission service",
+    writeOrdinary(step.workflow, Event::PermissionAnswered, "received a response from the permission service",
         { { "step", describe(step) }, { "asked", std::to_string(requestedWorkers) },
             { "granted", std::to_string(grantedWorkers) }, { "tookMs", milliseconds(callTime) } });
 }
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -4,14 +4,16 @@
 #include <string>
 
 #include "app/EventLog.h"
+#include "control/LogBudget.h"
 #include "core/Time.h"
 #include "report/Metrics.h"
+#include "workflow/AdmissionController.h"
 #include "workflow/SchedulerObserver.h"
 
 namespace hickoryknot {
 
-/// Logs and counts scheduling decisions, one line each. Lines above a rate limit are dropped and reported as a count,
-/// so that a burst cannot fill the log or take much CPU time.
+/// Logs and counts scheduling decisions, one line each. LogBudget bounds the lines, so that a burst cannot fill the log
+/// or take much CPU time; the lines that were left out are reported as counts by event.
 class DecisionLog final : public workflow::SchedulerObserver {
 public:
     DecisionLog();
@@ -23,18 +25,20 @@
     void onWorkflowEnded(const workflow::WorkflowRecord&, Duration age) override;
 
     void onAccepted(const workflow::WorkflowId&, const workflow::QueueName&, Duration commitTime);
-    void onRefused(const workflow::WorkflowId&, const workflow::QueueName&, Duration retryAfter);
+    void onRefused(
+        const workflow::WorkflowId&, const workflow::QueueName&, const workflow::AdmissionController::Rejection&);
     void onCancelled(const workflow::WorkflowId&);
     void onPermissionResponse(
         const workflow::StepRef&, size_t requestedWorkers, size_t grantedWorkers, Duration callTime);
 
-    /// Refills the rate limit and logs the number of dropped lines, at most once per second. Call it periodically.
+    /// Refills the budget and logs the number of lines left out, at most once per second. Call it periodically.
     void tick(TimePoint now);
 
     const Metrics& metrics() const { return m_metrics; }
 
 private:
-    void write(EventLevel, Event, std::string_view message, EventLog::Fields);
+    void writeOrdinary(const workflow::WorkflowId&, Event, std::string_view message, EventLog::Fields);
+    void writeEssential(Event, std::string_view message, EventLog::Fields);
 
     Metrics m_metrics;
     CounterId m_accepted;
@@ -50,10 +54,8 @@
     LatencyId m_waitTime;
     LatencyId m_workflowTime;
     LatencyId m_permissionTime;
-    double m_tokens { 0 };
-    TimePoint m_lastRefill;
+    LogBudget m_budget;
     TimePoint m_nextSummary;
-    uint64_t m_droppedLines { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -407,10 +407,10 @@
     if (!m_pendingAcceptances.contains(id)) {
         constexpr uint64_t jitterSteps = 100;
         const double jitter = static_cast<double>(hashBytes(id.value()) % jitterSteps) / jitterSteps;
-        if (const auto retryAfter = m_scheduler.checkAdmission(*target->queue, call.spec, jitter, steadyNow())) {
+        if (const auto rejection = m_scheduler.checkAdmission(*target->queue, call.spec, jitter, steadyNow())) {
             auto reply = makeReply(ControlStatus::Refused, "more work is waiting than can end in time");
-            reply.retryAfter = *retryAfter;
-            m_log.onRefused(id, target->queue->name, *retryAfter);
+            reply.retryAfter = rejection->retryAfter;
+            m_log.onRefused(id, target->queue->name, *rejection);
             return respond(std::move(reply));
         }
     }
--- a/src/workflow/AdmissionController.h
+++ b/src/workflow/AdmissionController.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <vector>
 
 #include "core/Quantity.h"
 #include "core/Time.h"
@@ -32,21 +32,30 @@
     {
     }
 
-    /// Estimated work that is ready but not started, in millicore-microseconds. Excludes running tasks, because a new
-    /// workflow does not have to wait for all of their remaining work.
-    struct Load {
-        /// Work of this priority and of more urgent ones.
-        double workAtOrAbove(uint32_t priority) const;
-
-        std::map<uint32_t, double> workByPriority;
+    /// A step that is ready but not started. Running tasks do not count, because a new workflow does not have to wait
+    /// for all of their remaining work.
+    struct WaitingWork {
+        uint32_t level { 0 }; // See StepOrder.
+        bool isLate { false };
+        TimePoint latestStart;
+        double work { 0 }; // Estimate in millicore-microseconds.
     };
+    using Load = std::vector<WaitingWork>;
 
-    /// Returns nullopt if the workflow is admitted, otherwise the delay after which the caller should retry. `jitter`
+    struct Rejection {
+        Duration retryAfter { 0 }; // When the caller should come back.
+        Duration expectedWait { 0 };
+        Duration slack { 0 }; // Longest wait with which the workflow meets its deadline.
+    };
+    /// Returns nullopt if the workflow is admitted. `jitter`
     /// in 0..1 spreads that delay, so that rejected callers do not retry at the same time.
-    std::optional<Duration> checkAdmission(
-        const Queue&, const WorkflowSpec&, const Load&, Millicores capacity, double jitter) const;
+    std::optional<Rejection> checkAdmission(
+        const Queue&, const WorkflowSpec&, const Load&, Millicores capacity, double jitter, TimePoint now) const;
 
 private:
+    /// Work that starts before a new workflow of this priority with this latest start.
+    static double workAhead(const Load&, uint32_t priority, TimePoint latestStart);
+
     AdmissionSettings m_settings;
 };
 
--- a/src/workflow/StepOrder.h
+++ b/src/workflow/StepOrder.h
@@ -20,6 +20,7 @@
 
     /// Priority that the step competes with: work of a lower level starts first.
     uint32_t level() const { return m_level; }
+    bool isLate() const { return m_isLate; }
 
     friend bool operator<(const StepOrder& a, const StepOrder& b)
     {
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -499,14 +499,13 @@
     }
 }
 
-std::optional<Duration> WorkflowScheduler::checkAdmission(
+std::optional<AdmissionController::Rejection> WorkflowScheduler::checkAdmission(
     const Queue& queue, const WorkflowSpec& spec, double jitter, TimePoint now) const
 {
     return m_admissionController.checkAdmission(
-        queue, spec, waitingLoad(now), m_workerTracker.capacity(queue.pool, now), jitter);
+        queue, spec, waitingLoad(now), m_workerTracker.capacity(queue.pool, now), jitter, now);
 }
 
-// Late work counts at the level that it competes with: a new workflow does not wait for late work of its own priority.
 AdmissionController::Load WorkflowScheduler::waitingLoad(TimePoint now) const
 {
     AdmissionController::Load load;
@@ -514,8 +513,12 @@
         const StepSpec& spec = *step.spec;
         if (spec.usesSpareCapacity || spec.isLongRunning)
             continue;
-        load.workByPriority[StepOrder(step, now).level()] += static_cast<double>(step.tasks.size())
-            * static_cast<double>(spec.perTask.millicores.count()) * static_cast<double>(spec.estimatedRunTime.count());
+        const StepOrder order(step, now);
+        load.push_back({ .level = order.level(),
+            .isLate = order.isLate(),
+            .latestStart = step.latestStart(),
+            .work = static_cast<double>(step.tasks.size()) * static_cast<double>(spec.perTask.millicores.count())
+                * static_cast<double>(spec.estimatedRunTime.count()) });
     }
     return load;
 }
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -59,8 +59,9 @@
     /// The batch is committed and applied.
     void onBatchCommitted(uint64_t batch, TimePoint now);
 
-    /// Returns a retry delay if a workflow cannot meet its deadline; see AdmissionController.
-    std::optional<Duration> checkAdmission(const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
+    /// Returns a rejection if a workflow cannot meet its deadline; see AdmissionController.
+    std::optional<AdmissionController::Rejection> checkAdmission(
+        const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
 
     /// Number of accepted workflows of a queue without a started task.
     size_t pendingWorkflows(const QueueName&) const;
