--- a/src/workflow/CapacityForecast.cpp
+++ b/src/workflow/CapacityForecast.cpp
@@ -36,14 +36,15 @@
 
 void CapacityForecast::build(const std::vector<const TrackedRun*>& runs, TimePoint now)
 {
-    m_isBuilt = true;
+    m_expected.clear();
     for (const auto* run : runs) {
         const TimePoint at
             = run->phase == TrackedRun::Phase::Proposed ? now + run->spec.estimatedRunTime : expectedEnd(*run, now);
         if (at != TimePoint::max())
-            m_releases.push_back({ .at = at, .amount = resourceDemand(run->spec) });
+            m_expected.push_back({ .at = at, .amount = resourceDemand(run->spec) });
     }
-    std::sort(m_releases.begin(), m_releases.end(), [](const Release& a, const Release& b) { return a.at < b.at; });
+    std::sort(m_expected.begin(), m_expected.end(), [](const Release& a, const Release& b) { return a.at < b.at; });
+    reset();
 }
 
 void CapacityForecast::findSlots(
--- a/src/workflow/CapacityForecast.h
+++ b/src/workflow/CapacityForecast.h
@@ -11,12 +11,13 @@
 struct TrackedRun;
 
 /// What the runs on one worker are expected to release, and when. Answers when a task of a waiting gang will fit, under
-/// loads in which no capacity is free for long. Valid for one planning pass.
+/// loads in which no capacity is free for long.
 class CapacityForecast {
 public:
     /// Runs whose end is already being recorded or stopped count as released soon.
     void build(const std::vector<const TrackedRun*>& runs, TimePoint now);
-    bool isBuilt() const { return m_isBuilt; }
+    /// Drops all claims.
+    void reset() { m_releases = m_expected; }
 
     /// Appends the times at which the first, second and further tasks of this size fit, given what is free now; at most
     /// `maxTasks`.
@@ -34,8 +35,8 @@
         Resources amount;
     };
 
-    std::vector<Release> m_releases; // In order of time.
-    bool m_isBuilt { false };
+    std::vector<Release> m_expected; // In order of time.
+    std::vector<Release> m_releases; // The same, less what is claimed.
 };
 
 /// Expected end of a run, from its reported progress if there is any, otherwise from the estimated run time.
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -47,6 +47,8 @@
 /// A task uses capacity that is reserved for a gang if it ends before the gang starts even when it takes this much
 /// longer than estimated.
 constexpr int64_t backfillMarginPercent = 25;
+/// Expected ends of runs are estimates, so that a forecast of this age is as good as a new one.
+constexpr Duration maxForecastAge = 50ms;
 /// Time for which a step avoids workers on which it failed, even if no other worker fits; about one run time.
 constexpr Duration avoidFailedWorkerFor = 3s;
 /// Runs beyond this progress are not preempted, because stopping them may take almost as long as finishing.
@@ -72,6 +74,7 @@
     m_workers.clear();
     m_pools.clear();
     m_reservingGangs = 0;
+    ++m_pass;
     for (auto& [incarnation, tracked] : m_workerTracker.workers()) {
         if (!m_workerTracker.isUsable(tracked, now))
             continue;
@@ -457,9 +460,23 @@
 
 CapacityForecast& Planner::forecastOf(WorkerCapacity& worker)
 {
-    if (!worker.forecast.isBuilt())
-        worker.forecast.build(m_runController.runsOn(worker.tracked->incarnation()), m_now);
-    return worker.forecast;
+    const TrackedWorker& tracked = *worker.tracked;
+    if (tracked.number >= m_forecasts.size())
+        m_forecasts.resize(tracked.number + 1);
+    CachedForecast& cached = m_forecasts[tracked.number];
+    if (std::exchange(cached.pass, m_pass) == m_pass)
+        return cached.forecast;
+    const bool isCurrent = cached.used == tracked.used && m_now - cached.builtAt <= maxForecastAge
+        && cached.incarnation == tracked.incarnation();
+    if (isCurrent) {
+        cached.forecast.reset();
+        return cached.forecast;
+    }
+    cached.forecast.build(m_runController.runsOn(tracked.incarnation()), m_now);
+    cached.incarnation = tracked.incarnation();
+    cached.used = tracked.used;
+    cached.builtAt = m_now;
+    return cached.forecast;
 }
 
 Planner::Reservation Planner::findReservation(
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -59,7 +59,14 @@
         /// `reservedFrom` may use it.
         Resources reserved {};
         TimePoint reservedFrom { TimePoint::max() };
-        CapacityForecast forecast {};
+    };
+    /// Forecast of a worker, kept between passes because it costs more than the rest of a decision.
+    struct CachedForecast {
+        CapacityForecast forecast;
+        WorkerIncarnation incarnation;
+        Resources used; // What the worker's runs took when it was built.
+        TimePoint builtAt;
+        uint64_t pass { 0 }; // Last pass that used it.
     };
     /// When and where tasks of a step are expected to fit.
     struct Reservation {
@@ -140,6 +147,8 @@
     const RunController& m_runController;
     std::vector<WorkerCapacity> m_workers;
     std::vector<WorkerCapacity*> m_workerByNumber; // Null if the worker is not usable.
+    std::vector<CachedForecast> m_forecasts; // By worker number.
+    uint64_t m_pass { 0 };
     size_t m_reservingGangs { 0 };
     std::vector<const PoolName*> m_pools;
     // State of the step that is being planned.
