Reserve expected releases before free capacity, and test reservations

A gang that starts when a run ends needs what that run releases, so the capacity that is free until then stays available to others. Tests: CapacityForecastTest, and in PlannerTest gangReservesOnlyWhatItNeeds, shortTasksUseReservedCapacityMeanwhile, urgentTaskKeepsTheCapacityThatItWaitsFor.

--- a/src/workflow/CapacityForecast.cpp
+++ b/src/workflow/CapacityForecast.cpp
@@ -68,16 +68,18 @@
     }
 }
 
-Resources CapacityForecast::claim(Resources& free, const Resources& size)
+Resources CapacityForecast::claim(Resources& free, const Resources& size, TimePoint at)
 {
-    const Resources fromFree = minOf(maxOf(free, {}), size);
-    free -= fromFree;
-    Resources missing = size - fromFree;
+    Resources missing = size;
     for (auto& release : m_releases) {
+        if (release.at > at)
+            break;
         const Resources taken = minOf(release.amount, missing);
         release.amount -= taken;
         missing -= taken;
     }
+    const Resources fromFree = minOf(maxOf(free, {}), missing);
+    free -= fromFree;
     return fromFree;
 }
 
--- a/src/workflow/CapacityForecast.h
+++ b/src/workflow/CapacityForecast.h
@@ -23,9 +23,9 @@
     /// `maxTasks`.
     void findSlots(const Resources& free, const Resources& size, uint32_t maxTasks, TimePoint now,
         std::vector<TimePoint>& slots) const;
-    /// Claims the earliest capacity for one task: reduces `free`, then the expected releases, which must suffice.
-    /// Returns what it took from `free`.
-    Resources claim(Resources& free, const Resources& size);
+    /// Claims the capacity of one task that starts at `at`: what is released until then, and as little as possible of
+    /// `free`, which it reduces. Returns what it took from `free`.
+    Resources claim(Resources& free, const Resources& size, TimePoint at);
     /// Expected free capacity at a later time.
     Resources freeAt(Resources free, TimePoint at) const;
 
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -510,7 +510,7 @@
 void Planner::reserve(const Reservation& reservation)
 {
     for (auto* worker : reservation.workers) {
-        worker->reserved += forecastOf(*worker).claim(worker->free, m_stepSize);
+        worker->reserved += forecastOf(*worker).claim(worker->free, m_stepSize, reservation.startsAt);
         worker->reservedFrom = std::min(worker->reservedFrom, reservation.startsAt);
     }
 }
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(prefersTheRackWithTheData);
     CPPUNIT_TEST(gangIsPlacedCompletelyOrNotAtAll);
     CPPUNIT_TEST(waitingGangReservesCapacity);
+    CPPUNIT_TEST(gangReservesOnlyWhatItNeeds);
+    CPPUNIT_TEST(shortTasksUseReservedCapacityMeanwhile);
+    CPPUNIT_TEST(urgentTaskKeepsTheCapacityThatItWaitsFor);
     CPPUNIT_TEST(gangPreemptsOnlyNearItsLatestStart);
     CPPUNIT_TEST(requestsPermissionBeforePlacing);
     CPPUNIT_TEST(gangRequestsPermissionForAllWorkersOnce);
@@ -229,6 +232,44 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 4 }, plan().placements.size());
     }
 
+    // Guards against idle processors: a gang reserved whole workers until they were empty, a tenth of a large cluster,
+    // although its tasks fit elsewhere sooner.
+    void gangReservesOnlyWhatItNeeds()
+    {
+        addWorker("a", 8000);
+        placeTask("a", 0, 6000);
+        addStep(samples::firstId, gang(1, 3000));
+        auto batch = samples::step(4, 1000);
+        batch.estimatedRunTime = 10s;
+        addStep(WorkflowId("00000000000000a3"), batch, 2);
+        // The run that ends in a second leaves enough for the gang.
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, plan().placements.size());
+    }
+
+    // Guards against the same loss by work that ends before the gang can start.
+    void shortTasksUseReservedCapacityMeanwhile()
+    {
+        addWorker("a");
+        placeTask("a", 0, 1000);
+        addStep(samples::firstId, gang(1, 4000));
+        auto lookup = samples::step(3);
+        lookup.estimatedRunTime = 500ms;
+        addStep(WorkflowId("00000000000000a3"), lookup, 2);
+        CPPUNIT_ASSERT_EQUAL(size_t { 3 }, plan().placements.size());
+    }
+
+    // Guards against lookups that wait for two releases on one worker while batch work takes each of them.
+    void urgentTaskKeepsTheCapacityThatItWaitsFor()
+    {
+        addWorker("a");
+        placeTask("a", 0, 2000);
+        addStep(samples::firstId, samples::step(1, 4000), 0, 400ms);
+        auto batch = samples::step(2, 1000);
+        batch.estimatedRunTime = 10s;
+        addStep(WorkflowId("00000000000000a3"), batch, 2);
+        CPPUNIT_ASSERT(plan().placements.empty());
+    }
+
     // Guards against excessive preemption: preempting as soon as a gang was ready stopped 9,267 runs in one day.
     void gangPreemptsOnlyNearItsLatestStart()
     {
