--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -170,4 +170,13 @@
 
 Endpoint SoakCluster::operatorEndpoint(const Host& host) { return { host.bindAddress, operatorPort }; }
 
+std::vector<Endpoint> SoakCluster::listeningPorts(const Host& host)
+{
+    if (host.isControl)
+        return { { host.bindAddress, operatorPort }, { host.bindAddress, internalPort },
+            { host.bindAddress, internalPort + 1 } };
+    return { { host.bindAddress, callerPort }, { host.bindAddress, readinessPort },
+        { host.bindAddress, internalPort } };
+}
+
 } // namespace hickoryknot::soak
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -56,6 +56,8 @@
 
     static Endpoint callerEndpoint(const Host&);
     static Endpoint operatorEndpoint(const Host&);
+    /// All ports at which the host accepts connections, without the links.
+    static std::vector<Endpoint> listeningPorts(const Host&);
     /// A loopback address that is unique to this test process, so that soak tests can run in parallel.
     static std::string address(int group, size_t number);
 
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -9,6 +9,7 @@
 #include "SoakCallers.h"
 #include "SoakCluster.h"
 #include "SoakFaults.h"
+#include "SoakNoise.h"
 #include "SoakOperator.h"
 #include "SoakWorkers.h"
 #include "app/SteadyTime.h"
@@ -52,7 +53,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against jobs that are lost, run twice, run after a refusal or are shown in a wrong state, and against
-    // table versions that go back, while real processes are killed, stopped, paused, cut off and lose their disks.
+    // table versions that go back, while real processes are killed, stopped, paused, cut off, lose their disks and get
+    // malformed messages on every port.
     // Environment: SEEDS is the number of seeds (default: two and all in failedSeeds), FIRST_SEED the first one,
     // SOAK_SECONDS the time with faults; SOAK_FAULTS=0 disables faults, SOAK_KEEP keeps the logs, SOAK_WORKERS and
     // SOAK_JOBS (per second) set the load.
@@ -102,6 +104,7 @@
                 static_cast<size_t>(environmentNumber("SOAK_WORKERS", isLarge(seed) ? manyWorkers : workerCount)), seed)
             , cluster(io, clusterOptions(seed), folder, workers.permissionService())
             , faults(cluster, workers, clusterOptions(seed).toleratedLosses, seed ^ 0x5eed)
+            , noise(cluster, seed ^ 0xbad)
         {
             std::vector<Endpoint> operatorHosts;
             for (const auto* host : cluster.controlHosts())
@@ -150,8 +153,10 @@
             runFor(2s, true, [] { return false; });
             const bool hasFaults = environmentNumber("SOAK_FAULTS", 1) != 0;
             runFor(faultTime, true, [&] {
-                if (hasFaults)
+                if (hasFaults) {
                     faults.advance(steadyNow());
+                    noise.advance();
+                }
                 return false;
             });
             faults.endFaults(steadyNow());
@@ -171,7 +176,8 @@
                 report += callers->hasPendingCalls() ? "calls stay without a clear answer\n" : "";
             }
             std::cerr << "soak: " << callers->submitted() << " jobs, " << callers->refused() << " refused, "
-                      << checker.startedRuns() << " runs, " << faults.history().size() << " faults\n";
+                      << checker.startedRuns() << " runs, " << faults.history().size() << " faults, " << noise.sent()
+                      << " malformed messages\n";
             if (!report.empty()) {
                 for (const auto& line : faults.history())
                     report += line + "\n";
@@ -184,6 +190,7 @@
         SoakWorkers workers;
         SoakCluster cluster;
         SoakFaults faults;
+        SoakNoise noise;
         std::unique_ptr<SoakOperator> operators;
         std::unique_ptr<SoakCallers> callers;
     };
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(spareCapacityTasksStartOnOvercommittedWorkers);
     CPPUNIT_TEST(reservingGangsScaleWithWorkers);
     CPPUNIT_TEST(unusableWorkersGetNoTasks);
+    CPPUNIT_TEST(recordedWorkerGetsNoTasksBeforeItResponds);
     CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
     CPPUNIT_TEST(planIsDeterministic);
     CPPUNIT_TEST_SUITE_END();
@@ -478,6 +479,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"), plan().placements.front().incarnation.worker.value());
     }
 
+    // Guards against work for a worker that left just before the leader changed or restarted: the record still names it.
+    void recordedWorkerGetsNoTasksBeforeItResponds()
+    {
+        TrackedWorker& worker = m_workerTracker.addRecorded(samples::profile("a"), m_now);
+        addStep(samples::firstId, samples::step(1));
+        CPPUNIT_ASSERT(plan().placements.empty());
+        worker.clock.update(1000, m_now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, plan().placements.size());
+    }
+
     // Guards against a workflow that fails because one faulty worker got all its attempts.
     void failedTaskGoesToAnotherWorker()
     {
