--- a/src/core/Events.cpp
+++ b/src/core/Events.cpp
@@ -14,7 +14,7 @@
         "a setting is unknown, missing or out of range; the process exits with code 2" },
     { Event::DrainStarted, "DrainStarted", "the host takes no new work" },
     { Event::SettingsReloaded, "SettingsReloaded", "the settings file was read again and differed" },
-    { Event::LinesLeftOut, "LinesLeftOut", "log lines beyond the bounded rate were left out; the line says how many" },
+    { Event::LinesLeftOut, "LinesLeftOut", "log lines were left out to bound the log; the line says how many, by event" },
     { Event::ListenFailed, "ListenFailed", "the address cannot be bound" },
     { Event::RequestRejected, "RequestRejected", "a request was malformed or over a limit" },
     { Event::PeerUnreachable, "PeerUnreachable", "another host has not answered for 1 s" },
