--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -47,6 +47,11 @@
     Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now);
 
 private:
+    /// Minimum number of workers in a request, including full workers: capacity is released and taken several times
+    /// before the response arrives, and a step can only wait for capacity on workers that it may use. The additional
+    /// workers lengthen the call by at most a third; objectives allow for one call of about this size per step.
+    static constexpr size_t minNamedWorkersPerStep = 30;
+
     /// Free capacity of a worker during one planning pass.
     struct WorkerCapacity {
         TrackedWorker* tracked;
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -479,7 +479,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"), plan().placements.front().incarnation.worker.value());
     }
 
-    // Guards against work for a worker that left just before the leader changed or restarted: the record still names it.
+    // Guards against work for a worker that left just before the leader changed or restarted: the record still names
+    // it.
     void recordedWorkerGetsNoTasksBeforeItResponds()
     {
         TrackedWorker& worker = m_workerTracker.addRecorded(samples::profile("a"), m_now);
