Return a lost leadership's share of the log's budget

Seen while reading the change: workflows that were chosen to be written at a leader stayed on its list, paid for, after another host took over. LogBudgetTest::lostLeadershipReturnsWhatWasPaid fails without it.

--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -31,6 +31,9 @@
     void onPermissionResponse(
         const workflow::StepRef&, size_t requestedWorkers, size_t grantedWorkers, Duration callTime);
 
+    /// Another host leads from now on.
+    void onLeadershipEnded() { m_budget.clear(); }
+
     /// Refills the budget and logs the number of lines left out, at most once per second. Call it periodically.
     void tick(TimePoint now);
 
--- a/src/control/LogBudget.cpp
+++ b/src/control/LogBudget.cpp
@@ -49,6 +49,13 @@
     m_prepaid.erase(found);
 }
 
+void LogBudget::clear()
+{
+    for (const auto& [id, lines] : m_prepaid)
+        m_lines += lines;
+    m_prepaid.clear();
+}
+
 bool LogBudget::takeOrdinary(Event event, const WorkflowId& id)
 {
     const auto found = m_prepaid.find(id);
--- a/src/control/LogBudget.h
+++ b/src/control/LogBudget.h
@@ -24,6 +24,9 @@
     /// The workflow has reached its final state; call it after its last line.
     void end(const workflow::WorkflowId&);
 
+    /// The workflows that are written continue at another host.
+    void clear();
+
     /// True if a line about the ordinary course of this workflow is to be written; counts it as left out otherwise.
     bool takeOrdinary(Event, const workflow::WorkflowId&);
     /// The same for a line about a refusal, a failure or a stop.
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -160,6 +160,7 @@
     if (!isLeader) {
         m_workers.endLeadership();
         m_scheduler.resign();
+        m_log.onLeadershipEnded();
         EventLog::write(EventLevel::Info, Event::LeadershipEnded, "this host is no longer leader",
             { { "term", std::to_string(term) } });
         return;
--- a/tests/control/LogBudgetTest.cpp
+++ b/tests/control/LogBudgetTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(workflowIsWrittenWholeOrNotAtAll);
     CPPUNIT_TEST(failuresAreWrittenBesideABurstOfWorkflows);
     CPPUNIT_TEST(linesAreBounded);
+    CPPUNIT_TEST(lostLeadershipReturnsWhatWasPaid);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int linesPerWorkflow = 6;
@@ -72,6 +73,19 @@
             CPPUNIT_ASSERT_EQUAL(180, playSecond(second).essential);
     }
 
+    // Guards against a budget that shrinks, and a list that grows, with each change of the leader.
+    void lostLeadershipReturnsWhatWasPaid()
+    {
+        m_budget.refill(m_now);
+        for (int leadership = 0; leadership < 100; ++leadership) {
+            for (int i = 0; i < 10; ++i)
+                m_budget.begin(id(leadership * 10 + i));
+            CPPUNIT_ASSERT(m_budget.takeOrdinary(Event::TaskPlaced, id(leadership * 10)));
+            m_budget.clear();
+            CPPUNIT_ASSERT(!m_budget.takeOrdinary(Event::TaskPlaced, id(leadership * 10)));
+        }
+    }
+
     // Guards against a log that grows with the load, and against lines that vanish without a count.
     void linesAreBounded()
     {
