--- a/tests/control/LogBudgetTest.cpp
+++ b/tests/control/LogBudgetTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(LogBudgetTest);
     CPPUNIT_TEST(workflowIsWrittenWholeOrNotAtAll);
     CPPUNIT_TEST(failuresAreWrittenBesideABurstOfWorkflows);
+    CPPUNIT_TEST(workflowsAcceptedAtOnceLeaveLinesForFailures);
     CPPUNIT_TEST(linesAreBounded);
     CPPUNIT_TEST(lostLeadershipReturnsWhatWasPaid);
     CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,20 @@
             CPPUNIT_ASSERT_EQUAL(180, playSecond(second).essential);
     }
 
+    // Guards against workflows whose later lines use up the budget: many are accepted before the first writes its
+    // lines.
+    void workflowsAcceptedAtOnceLeaveLinesForFailures()
+    {
+        constexpr int workflows = 1000;
+        m_budget.refill(m_now);
+        for (int i = 0; i < workflows; ++i)
+            m_budget.begin(id(i));
+        for (int i = 0; i < workflows * linesPerWorkflow; ++i)
+            m_budget.takeOrdinary(Event::TaskPlaced, id(i % workflows));
+        for (int i = 0; i < 180; ++i)
+            CPPUNIT_ASSERT(m_budget.takeEssential(Event::TaskEnded));
+    }
+
     // Guards against a budget that shrinks, and a list that grows, with each change of the leader.
     void lostLeadershipReturnsWhatWasPaid()
     {
