--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -156,6 +156,10 @@
                 consider(*worker);
         }
     }
+    if (step.isSuspect) {
+        sortForSuspects(found);
+        return found;
+    }
     // Prefers the rack that holds the data, then the fullest workers.
     std::sort(found.begin(), found.end(), [&](const WorkerCapacity* a, const WorkerCapacity* b) {
         const bool isNearA = !step.spec->dataRack.isEmpty() && a->tracked->profile.rack == step.spec->dataRack;
@@ -169,6 +173,20 @@
     return found;
 }
 
+// If a worker with only one suspect crashes, that task did it; a mostly free worker loses the least work.
+void Planner::sortForSuspects(std::vector<WorkerCapacity*>& workers)
+{
+    const auto suspects
+        = [](const WorkerCapacity& worker) { return worker.tracked->suspectRuns + worker.plannedSuspects; };
+    std::sort(workers.begin(), workers.end(), [&](const WorkerCapacity* a, const WorkerCapacity* b) {
+        if (suspects(*a) != suspects(*b))
+            return suspects(*a) < suspects(*b);
+        if (a->free.millicores != b->free.millicores)
+            return a->free.millicores > b->free.millicores;
+        return a < b;
+    });
+}
+
 void Planner::allocate(WorkerCapacity& worker, const ReadyStep& step, size_t task, Decisions& decisions, TimePoint now)
 {
     worker.free -= m_stepSize;
@@ -177,6 +195,7 @@
     worker.free += borrowed;
     worker.reserved -= borrowed;
     ++worker.plannedTaskCounts[step.ref];
+    worker.plannedSuspects += step.isSuspect ? 1 : 0;
     const std::string* permissionToken = m_permissionTracker.token(*m_stepPermissions, *worker.tracked, now);
     decisions.placements.push_back(
         { .run = { .task = { .step = step.ref, .index = step.tasks[task].index }, .run = step.tasks[task].nextRun },
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -58,6 +58,7 @@
         Resources free; // Less what this pass has placed or reserved.
         size_t pool; // Index into m_pools.
         std::map<StepRef, uint32_t> plannedTaskCounts;
+        uint32_t plannedSuspects { 0 };
         /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
         /// Free capacity that is reserved for steps which come earlier. Only tasks that are expected to end before
@@ -106,6 +107,8 @@
         return m_permissionTracker.token(*m_stepPermissions, *worker.tracked, now) != nullptr;
     }
     std::vector<WorkerCapacity*> candidates(const ReadyStep&, TimePoint now);
+    /// Order for tasks under which a worker has crashed.
+    static void sortForSuspects(std::vector<WorkerCapacity*>&);
     /// Null if the worker is not usable.
     WorkerCapacity* findWorker(uint32_t workerNumber) const
     {
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -21,6 +21,8 @@
         uint32_t nextRun { 1 };
     };
     std::vector<Task> tasks;
+    /// A worker has crashed under one of the tasks.
+    bool isSuspect { false };
     /// Time by which the workflow must end to meet its objective, and time after which its result has no value.
     TimePoint deadline;
     TimePoint expiresAt;
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -90,19 +90,32 @@
     run.spec = spec;
     run.isGang = spec.isGang;
     run.maxExecutionDelay = maxExecutionDelay;
-    m_runsByIncarnation[incarnation].emplace(ref, &run);
+    const WorkflowRecord* record = m_state.find(ref.task.step.workflow);
+    const TaskRecord* task = record ? record->find(ref.task) : nullptr;
+    run.isSuspect = task && task->isSuspect();
     m_unsettledRuns.insert(ref);
-    if (TrackedWorker* worker = m_workerTracker.find(incarnation))
-        WorkerTracker::allocate(*worker, ref.task.step, spec);
+    allocateCapacity(run);
     if (spec.isGang)
         m_gangs[{ ref.task.step, ref.run }].members.insert(ref);
     return run;
 }
 
+void RunController::allocateCapacity(TrackedRun& run)
+{
+    m_runsByIncarnation[run.incarnation].emplace(run.run, &run);
+    TrackedWorker* worker = m_workerTracker.find(run.incarnation);
+    if (!worker)
+        return;
+    WorkerTracker::allocate(*worker, run.run.task.step, run.spec);
+    worker->suspectRuns += run.isSuspect ? 1 : 0;
+}
+
 void RunController::releaseCapacity(const TrackedRun& run)
 {
-    if (TrackedWorker* worker = m_workerTracker.find(run.incarnation))
+    if (TrackedWorker* worker = m_workerTracker.find(run.incarnation)) {
         WorkerTracker::release(*worker, run.run.task.step, run.spec);
+        worker->suspectRuns -= run.isSuspect ? 1 : 0;
+    }
     const auto entry = m_runsByIncarnation.find(run.incarnation);
     entry->second.erase(run.run);
     if (entry->second.empty())
@@ -375,8 +388,7 @@
 {
     releaseCapacity(run);
     run.incarnation = next.incarnation();
-    m_runsByIncarnation[run.incarnation].emplace(run.run, &run);
-    WorkerTracker::allocate(next, run.run.task.step, run.spec);
+    allocateCapacity(run);
     next.leaseEnd = std::max(next.leaseEnd,
         now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin);
     run.phase = TrackedRun::Phase::Stopping;
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -97,6 +97,8 @@
 
     TrackedRun& add(const RunRef&, const WorkerIncarnation&, const StepSpec&);
     void remove(const RunRef&);
+    /// Allocates the capacity that the run takes on its current incarnation.
+    void allocateCapacity(TrackedRun&);
     /// Releases the capacity that the run takes on its current incarnation.
     void releaseCapacity(const TrackedRun&);
     void finish(TrackedRun&, RunOutcome, std::string checkpoint, TimePoint now);
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -28,6 +28,7 @@
     WorkerIncarnation incarnation;
     Phase phase { Phase::Proposed };
     bool isGang { false };
+    bool isSuspect { false }; // See TaskRecord::isSuspect().
     uint32_t priority { 0 }; // Priority of the queue; higher numbers are preempted first.
     bool isInherited { false }; // Placed by an earlier leader and not yet reported to this one.
     bool wasSeenRunning { false }; // The worker acknowledged the start or listed the run.
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -24,6 +24,8 @@
     TimePoint lastContactAt;
     /// Sum over runs that may occupy the worker, without the processors of tasks that use spare capacity.
     Resources used;
+    /// Runs of tasks that may have crashed another worker.
+    uint32_t suspectRuns { 0 };
     /// For StepSpec::maxPerWorker.
     std::map<StepRef, uint32_t> taskCountByStep;
 
--- a/src/workflow/WorkflowRecord.h
+++ b/src/workflow/WorkflowRecord.h
@@ -31,6 +31,8 @@
     uint32_t incarnationIndex { 0 };
     std::string checkpoint;
 
+    /// A worker has crashed while a run of the task was, or may have been, there.
+    bool isSuspect() const { return crashes + unconfirmedCrashes > 0; }
     bool isWaiting() const { return outcome == TaskOutcome::Open && !isPlaced; }
     friend bool operator==(const TaskRecord&, const TaskRecord&) = default;
 };
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -306,6 +306,8 @@
                 .spec = &spec,
                 .queue = queue,
                 .tasks = readyTasks(record, occurrence, step),
+                .isSuspect = std::any_of(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
+                    [](const TaskRecord& task) { return task.isSuspect(); }),
                 .deadline = begin + objective,
                 .expiresAt = begin + objective * expiryObjectives,
                 .criticalPath = criticalPathLengthFrom(record.spec, step),
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(unusableWorkersGetNoTasks);
     CPPUNIT_TEST(recordedWorkerGetsNoTasksBeforeItResponds);
     CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
+    CPPUNIT_TEST(tasksThatMayHaveCrashedAWorkerRunApart);
     CPPUNIT_TEST(planIsDeterministic);
     CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +120,34 @@
         return spec;
     }
 
+    // Guards against tasks that are given up because they ran beside the one that crashes its workers, time after time.
+    void tasksThatMayHaveCrashedAWorkerRunApart()
+    {
+        addWorker("a");
+        addWorker("b");
+        addWorker("c");
+        // The first workflow's task has crashed a worker and runs on "a" now.
+        const auto run = samples::run(samples::firstId, 0, 0);
+        PlaceRuns place;
+        place.incarnations = { samples::incarnation("x") };
+        place.entries = { { .run = run, .incarnationIndex = 0 } };
+        const EndRuns::Entry crash { .run = run, .outcome = RunOutcome::WorkerCrashed, .checkpoint = {} };
+        m_state.apply(1,
+            encodeCommands(
+                { samples::accept(samples::firstId, { samples::step(1) }), place, EndRuns { .entries = { crash } } }));
+        m_runController.addProposedRun(
+            samples::run(samples::firstId, 0, 0, 2), samples::incarnation("a"), samples::step(1), 0, {});
+        placeTask("b", 0, 2000);
+        auto& suspect = addStep(samples::secondId, samples::step(1));
+        suspect.isSuspect = true;
+        auto& other = addStep(WorkflowId("00000000000000a3"), samples::step(1));
+        other.isSuspect = true;
+        const auto placements = plan().placements;
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, placements.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), placements[0].incarnation.worker.value());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), placements[1].incarnation.worker.value());
+    }
+
     // Guards against fragmentation that leaves no capacity for large tasks.
     void packsSmallTasksOntoFullWorkers()
     {
