--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -313,7 +313,7 @@
         return;
     const bool hasOrphans = std::any_of(m_orphans.begin(), m_orphans.end(),
         [&](const auto& orphan) { return orphan.second.incarnation == incarnation; });
-    const bool needsFence = worker.isProfileKnown && !worker.hasConfirmedFence && !worker.clock.isKnown();
+    const bool needsFence = worker.isProfileKnown && !worker.hasConfirmedFence;
     const bool hasUnconfirmedEnds = worker.lastConfirmedEnd < worker.lastRecordedEnd;
     // A worker that did not respond gets no work until a poll succeeds.
     const bool isRetryDue
@@ -415,6 +415,14 @@
     }
     if (run.phase != TrackedRun::Phase::Unsent && run.phase != TrackedRun::Phase::Sent)
         return;
+    // The worker's capacity may have shrunk since the placement. A run that a silent worker may have is kept.
+    const Resources demand = resourceDemand(run.spec);
+    const bool stillFits = demand.isCoveredBy(worker->free() + demand);
+    const bool isCapacityKnown = m_workerTracker.isProfileCurrent(*worker, now);
+    if (!stillFits || (!isCapacityKnown && run.phase == TrackedRun::Phase::Unsent))
+        return onStartRejected(run, now);
+    if (!isCapacityKnown)
+        return;
     // Each retry without a response may be executed late, which postpones the time at which the run counts as lost.
     if (run.phase == TrackedRun::Phase::Sent && worker->consecutiveFailedCalls
         && (now < worker->backoffEnd || now - run.startedAt > startRetryWindow))
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -13,6 +13,8 @@
 
     /// A worker without contact for this long gets no new work; covers two missed heartbeats of 1.5 s and some delay.
     Duration contactTimeout { 4s };
+    /// A worker whose last heartbeat is older gets no new starts, because its capacity may have shrunk since.
+    Duration maxProfileAge { 4s };
     /// A worker that does not respond to a start for this long gets no further ones until it responds. Many round
     /// trips, but still a fraction of the call's timeout.
     Duration startResponseTimeout { 150ms };
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -22,6 +22,9 @@
     uint64_t sequence { 0 };
     WorkerClock clock;
     TimePoint lastContactAt;
+    /// When this leader received the profile, and the worker's clock when it was sent. Missing for recorded profiles.
+    std::optional<TimePoint> profileReceivedAt;
+    std::optional<WorkerClockMs> profileClock;
     /// Sum over runs that may occupy the worker, without the processors of tasks that use spare capacity.
     Resources used;
     /// Runs of tasks that may have crashed another worker.
--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -77,6 +77,8 @@
     recordStart(incarnation);
     worker.sequence = report.sequence;
     worker.lastContactAt = now;
+    worker.profileReceivedAt = now;
+    worker.profileClock = report.clock;
     if (report.clock)
         worker.clock.update(*report.clock, now);
     return isChanged ? ReportResult::Changed : ReportResult::Unchanged;
@@ -143,11 +145,28 @@
         || (atAddress != m_latestStartAtAddress.end() && atAddress->second > incarnation.startTimeMs);
 }
 
-bool WorkerTracker::isUsable(const TrackedWorker& worker, TimePoint now) const
+bool WorkerTracker::isProfileCurrent(const TrackedWorker& worker, TimePoint now) const
+{
+    if (!worker.profileReceivedAt)
+        return false;
+    Duration age = now - *worker.profileReceivedAt;
+    // A partition may have delayed the report for seconds; the clock in later responses shows it.
+    if (worker.profileClock && worker.clock.isKnown())
+        age = std::max(age, (worker.clock.lowerBound(now) - *worker.profileClock) * Duration(1ms));
+    return age < m_settings.maxProfileAge;
+}
+
+bool WorkerTracker::isHealthy(const TrackedWorker& worker, TimePoint now) const
 {
-    return worker.isProfileKnown && !worker.profile.isDraining && !worker.leavingSince && worker.clock.isKnown()
+    return worker.isProfileKnown && !worker.profile.isDraining && !worker.leavingSince
         && now - worker.lastContactAt < m_settings.contactTimeout && !worker.consecutiveFailedCalls
-        && now >= worker.backoffEnd && now >= worker.probationEnd && !worker.hasInheritedRuns
+        && now >= worker.backoffEnd && now >= worker.probationEnd;
+}
+
+bool WorkerTracker::isUsable(const TrackedWorker& worker, TimePoint now) const
+{
+    return isHealthy(worker, now) && isProfileCurrent(worker, now) && worker.clock.isKnown() && worker.hasConfirmedFence
+        && !worker.hasInheritedRuns
         && (!worker.pendingStartSince || now - *worker.pendingStartSince < m_settings.startResponseTimeout);
 }
 
@@ -181,7 +200,7 @@
 {
     Millicores sum;
     for (const auto& [incarnation, worker] : m_workers) {
-        if (worker.profile.pool == pool && isUsable(worker, now))
+        if (worker.profile.pool == pool && isHealthy(worker, now))
             sum += worker.profile.capacity.millicores;
     }
     return sum;
--- a/src/workflow/WorkerTracker.h
+++ b/src/workflow/WorkerTracker.h
@@ -49,6 +49,14 @@
     /// True if a later incarnation with the same id or address shows that this one has ended.
     bool isSuperseded(const WorkerIncarnation&) const;
 
+    /// True if the worker has reported its capacity to this leader recently enough to rely on it. The age of recorded
+    /// profiles is unknown.
+    bool isProfileCurrent(const TrackedWorker&, TimePoint now) const;
+
+    /// True if nothing speaks against new work on the worker. After a change of the leader it may still have to report
+    /// its capacity and its runs first.
+    bool isHealthy(const TrackedWorker&, TimePoint now) const;
+
     /// True if new work may be sent to the worker.
     bool isUsable(const TrackedWorker&, TimePoint now) const;
 
@@ -62,7 +70,7 @@
     std::map<WorkerIncarnation, TrackedWorker>& workers() { return m_workers; }
     const std::map<WorkerIncarnation, TrackedWorker>& workers() const { return m_workers; }
 
-    /// Total processors of the pool's usable workers.
+    /// Total processors of the pool's healthy workers.
     Millicores capacity(const PoolName&, TimePoint now) const;
 
 private:
--- a/tests/workflow/ClusterSimulation.h
+++ b/tests/workflow/ClusterSimulation.h
@@ -63,6 +63,9 @@
     void crashWorker(SimulatedWorker&);
     void crashUnderDeadlyTasks();
     void recordStart(const RunRef&);
+    void changeCapacities();
+    /// Largest capacity of the worker that a start may still use.
+    Resources usableCapacity(const WorkerProfile&) const;
     void checkFailedWorkflows();
     void checkWorkers();
     void reportViolation(const std::string&);
@@ -80,6 +83,10 @@
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
     std::map<WorkerId, Link> m_links;
     std::map<WorkerId, uint64_t> m_sequences;
+    /// Earlier capacities with the time until which they were in force.
+    std::map<WorkerId, std::vector<std::pair<TimePoint, Resources>>> m_earlierCapacities;
+    bool m_isExecutingLate { false };
+    std::set<RunRef> m_lateRuns; // Executed seconds after the request; may exceed a capacity that has shrunk since.
     std::multiset<Event> m_events;
     uint64_t m_nextEvent { 0 };
     uint64_t m_nextWorkflow { 1 };
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -44,6 +44,9 @@
     /// Starts a new incarnation with the same id and without any state of the old one.
     void restart(TimePoint now);
 
+    /// Changes the capacity that the next reports announce.
+    void setCapacity(const Resources& capacity) { m_profile.capacity = capacity; }
+
     RunResponse start(const StartRunRequest&, TimePoint now);
     RunResponse stop(const StopRunRequest&, TimePoint now);
     Expected<PollResponse> poll(const PollRequest&, TimePoint now);
