--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -58,6 +58,7 @@
     m_orphans.clear();
     m_gangs.clear();
     m_ends.clear();
+    m_startedWorkflows.clear();
 }
 
 const StepSpec* RunController::findSpec(const RunRef& run) const
@@ -231,7 +232,11 @@
 void RunController::confirm(TrackedRun& run, TimePoint now)
 {
     run.isInherited = false;
-    run.wasSeenRunning = true;
+    if (!std::exchange(run.wasSeenRunning, true)) {
+        const WorkflowRecord* record = m_state.find(run.run.task.step.workflow);
+        if (record && !record->hasStarted)
+            m_startedWorkflows.insert(record->id);
+    }
     if (run.phase != TrackedRun::Phase::Sent)
         return;
     run.phase = TrackedRun::Phase::Confirmed;
@@ -465,6 +470,13 @@
 
 std::vector<EndRuns::Entry> RunController::drainEnds() { return std::exchange(m_ends, {}); }
 
+std::vector<WorkflowId> RunController::drainStartedWorkflows()
+{
+    std::vector<WorkflowId> started(m_startedWorkflows.begin(), m_startedWorkflows.end());
+    m_startedWorkflows.clear();
+    return started;
+}
+
 RunController::ReceivedEnds RunController::receivedEnds() const
 {
     ReceivedEnds received;
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -63,6 +63,8 @@
 
     /// Returns and clears the ends that must be proposed to the log.
     std::vector<EndRuns::Entry> drainEnds();
+    /// Returns and clears the workflows whose first start has been confirmed and must be recorded.
+    std::vector<WorkflowId> drainStartedWorkflows();
     /// Highest end number received from each incarnation. Once these ends are committed, they may be confirmed to the
     /// workers.
     struct ReceivedEnds {
@@ -133,6 +135,7 @@
     std::map<RunRef, OrphanRun> m_orphans;
     std::map<GangKey, Gang> m_gangs;
     std::vector<EndRuns::Entry> m_ends;
+    std::set<WorkflowId> m_startedWorkflows;
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/RunOutcome.cpp
+++ b/src/workflow/RunOutcome.cpp
@@ -12,4 +12,10 @@
     return names[static_cast<size_t>(outcome)];
 }
 
+bool provesExecution(RunOutcome outcome)
+{
+    return outcome != RunOutcome::NeverStarted && outcome != RunOutcome::Lost
+        && outcome != RunOutcome::WorkerMayHaveCrashed;
+}
+
 } // namespace hickoryknot::workflow
--- a/src/workflow/RunOutcome.h
+++ b/src/workflow/RunOutcome.h
@@ -19,4 +19,7 @@
 
 const char* runOutcomeName(RunOutcome);
 
+/// True if a run with this outcome has certainly been on its worker.
+bool provesExecution(RunOutcome);
+
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowCommand.h
+++ b/src/workflow/WorkflowCommand.h
@@ -75,8 +75,13 @@
     std::vector<WorkerIncarnation> incarnations;
 };
 
+/// Records that a worker has executed a start of each of these workflows.
+struct RecordStarts {
+    std::vector<WorkflowId> ids;
+};
+
 using WorkflowCommand = std::variant<ReplaceTable, AcceptWorkflow, CancelWorkflow, RemoveWorkflows, BeginOccurrence,
-    PlaceRuns, EndRuns, RecordWorkers, RemoveWorkers>;
+    PlaceRuns, EndRuns, RecordWorkers, RemoveWorkers, RecordStarts>;
 
 /// Payload of one log entry: commands that are applied together, in order.
 std::string encodeCommands(const std::vector<WorkflowCommand>&);
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -94,5 +94,6 @@
 template <typename V> void visitFields(V& visit, SameAs<EndRuns> auto& x) { visit(x.entries); }
 template <typename V> void visitFields(V& visit, SameAs<RecordWorkers> auto& x) { visit(x.profiles); }
 template <typename V> void visitFields(V& visit, SameAs<RemoveWorkers> auto& x) { visit(x.incarnations); }
+template <typename V> void visitFields(V& visit, SameAs<RecordStarts> auto& x) { visit(x.ids); }
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowRecord.h
+++ b/src/workflow/WorkflowRecord.h
@@ -88,7 +88,7 @@
     FailureCause failureCause { FailureCause::None };
     /// Wall-clock time of the acceptance in milliseconds; only for ordering and age.
     int64_t acceptedMs { 0 };
-    bool hasStarted { false };
+    bool hasStarted { false }; // A worker has executed a start of one of its tasks.
     /// Begun occurrences with open tasks or placed runs, ascending.
     std::vector<OccurrenceRecord> occurrences;
     /// Occurrences with numbers below this have begun.
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -18,6 +18,9 @@
 constexpr Duration workerRemovalAge = 60s;
 /// Interval between searches for workers to remove; stale ones only use memory.
 constexpr Duration workerCleanupPeriod = 250ms;
+/// Maximum time for which the record of a first start waits for other commands; short against the time for which the
+/// number of pending workflows may be outdated.
+constexpr Duration maxStartRecordDelay = 500ms;
 /// Maximum number of uncommitted batches; further placements wait, so that commits do not delay each other.
 constexpr size_t maxBatchesInFlight = 4;
 
@@ -170,6 +173,7 @@
     if (m_batchesInFlight.size() < maxBatchesInFlight)
         placeReadySteps(output, batch, now);
 
+    recordStarts(output.commands, now);
     // Ends of runs that are not in the recorded state need no log entry.
     const bool areEndsInFlight = std::any_of(m_batchesInFlight.begin(), m_batchesInFlight.end(),
         [](const auto& item) { return !item.second.ended.empty(); });
@@ -396,6 +400,17 @@
         commands.emplace_back(std::move(record));
 }
 
+// A log entry of its own for each first start would cost a disk write each.
+void WorkflowScheduler::recordStarts(std::vector<WorkflowCommand>& commands, TimePoint now)
+{
+    if (commands.empty() && now < m_nextStartRecordAt)
+        return;
+    m_nextStartRecordAt = now + maxStartRecordDelay;
+    RecordStarts record { .ids = m_runController.drainStartedWorkflows() };
+    if (!record.ids.empty())
+        commands.emplace_back(std::move(record));
+}
+
 // Removes ended or silent incarnations that no run refers to.
 void WorkflowScheduler::removeStaleWorkers(std::vector<WorkflowCommand>& commands, TimePoint now)
 {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -63,7 +63,7 @@
     std::optional<AdmissionController::Rejection> checkAdmission(
         const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
 
-    /// Number of accepted workflows of a queue without a started task.
+    /// Number of accepted workflows of a queue of which no worker is known to have executed a start.
     size_t pendingWorkflows(const QueueName&) const;
 
     /// Describes for a person why the workflow is in its current state; empty if it is not known.
@@ -103,6 +103,7 @@
     Queue queueOf(const WorkflowRecord&) const;
     void beginDueOccurrences(std::vector<WorkflowCommand>&, WallTime wall);
     void recordWorkers(std::vector<WorkflowCommand>&);
+    void recordStarts(std::vector<WorkflowCommand>&, TimePoint now);
     void removeStaleWorkers(std::vector<WorkflowCommand>&, TimePoint now);
     void removeEndedWorkflows(std::vector<WorkflowCommand>&, TimePoint now);
     AdmissionController::Load waitingLoad(TimePoint now) const;
@@ -138,6 +139,7 @@
     std::set<TaskRef> m_tasksBeingPlaced;
     uint64_t m_nextBatch { 1 };
     TimePoint m_nextWorkerCleanupAt;
+    TimePoint m_nextStartRecordAt;
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -221,7 +221,6 @@
             task.incarnationIndex = acquireIncarnation(command.incarnations[entry.incarnationIndex]);
             ++stepRecord.placed;
             ++record.placed;
-            record.hasStarted = true;
         }
         if (isKnown)
             notifyChanged(step.workflow);
@@ -259,6 +258,7 @@
     --m_data.incarnations[task.incarnationIndex].runs;
     if (!entry.checkpoint.empty())
         task.checkpoint = entry.checkpoint;
+    record.hasStarted = record.hasStarted || provesExecution(entry.outcome);
     if (record.isActive())
         recordOutcome(record, step, record.spec.steps[ref.step.step], task, entry);
     finishOccurrences(record);
@@ -375,6 +375,15 @@
     }
 }
 
+void WorkflowState::applyCommand(const RecordStarts& command)
+{
+    for (const auto& id : command.ids) {
+        const auto known = m_data.workflows.find(id);
+        if (known != m_data.workflows.end() && !std::exchange(known->second.hasStarted, true))
+            notifyChanged(id);
+    }
+}
+
 void WorkflowState::notifyChanged(const WorkflowId& id)
 {
     if (m_listener)
--- a/src/workflow/WorkflowState.h
+++ b/src/workflow/WorkflowState.h
@@ -67,6 +67,7 @@
     void applyCommand(const EndRuns&);
     void applyCommand(const RecordWorkers&);
     void applyCommand(const RemoveWorkers&);
+    void applyCommand(const RecordStarts&);
 
     static void beginOccurrences(WorkflowRecord&, uint32_t upTo);
     bool mayPlace(const WorkflowRecord&, const RunRef&) const;
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "NullObserver.h"
 #include "WorkflowSamples.h"
 
 namespace hickoryknot::workflow {
@@ -18,13 +19,6 @@
 constexpr Duration shrunkCapacityGrace = 3s + reportPeriod;
 constexpr WallTime epoch { std::chrono::hours(24 * 365 * 50) };
 
-class NullObserver final : public SchedulerObserver {
-    void onTasksPlaced(const StepRef&, size_t, size_t, Duration, Duration) override { }
-    void onStopRequested(const RunRef&, const char*) override { }
-    void onRunEnded(const RunRef&, const WorkerIncarnation&, RunOutcome) override { }
-    void onWorkflowEnded(const WorkflowRecord&, Duration) override { }
-};
-
 } // namespace
 
 struct ClusterSimulation::Host {
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(cancelledWorkflowStartsNothing);
     CPPUNIT_TEST(occurrencesFinishOneByOne);
     CPPUNIT_TEST(olderIncarnationDoesNotReplaceANewerOne);
+    CPPUNIT_TEST(workflowHasStartedOnceAWorkerHasExecutedAStart);
     CPPUNIT_TEST_SUITE_END();
 
     WorkflowState m_state;
@@ -325,6 +326,24 @@
         CPPUNIT_ASSERT(record().phase == WorkflowPhase::Completed);
     }
 
+    // Guards against a workflow that counts as started because of a start that no worker may have executed.
+    void workflowHasStartedOnceAWorkerHasExecutedAStart()
+    {
+        apply({ samples::accept(samples::firstId, { samples::step(1) }),
+            samples::accept(samples::secondId, { samples::step(1) }) });
+        uint32_t number = 0;
+        for (const auto outcome : { RunOutcome::NeverStarted, RunOutcome::Lost, RunOutcome::WorkerMayHaveCrashed }) {
+            place({ samples::run(samples::firstId, 0, 0, ++number) });
+            end(samples::run(samples::firstId, 0, 0, number), outcome);
+            CPPUNIT_ASSERT(!record().hasStarted);
+        }
+        place({ samples::run(samples::firstId, 0, 0, ++number) });
+        end(samples::run(samples::firstId, 0, 0, number), RunOutcome::Stopped);
+        CPPUNIT_ASSERT(record().hasStarted);
+        apply({ RecordStarts { { samples::secondId, WorkflowId("unknown") } } });
+        CPPUNIT_ASSERT(m_state.find(samples::secondId)->hasStarted);
+    }
+
     // Guards against a late report that restores an ended incarnation.
     void olderIncarnationDoesNotReplaceANewerOne()
     {
