--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -417,13 +417,14 @@
     }
     // If the acceptance is still being committed, a repeated submission commits it again, which changes nothing.
     m_pendingAcceptances.try_emplace(id, steadyNow());
-    enqueueCommand(AcceptWorkflow { .id = id,
-                       .queue = target->queue->name,
-                       .pool = target->queue->pool,
-                       .maxAttempts = target->queue->maxAttempts,
-                       .spec = call.spec,
-                       .acceptedMs = wallNow().time_since_epoch() / 1ms },
-        respond, makeReply(ControlStatus::Done));
+    AcceptWorkflow command { .id = id,
+        .queue = target->queue->name,
+        .pool = target->queue->pool,
+        .maxAttempts = target->queue->maxAttempts,
+        .spec = call.spec,
+        .acceptedMs = wallNow().time_since_epoch() / 1ms };
+    m_scheduler.onAcceptanceProposed(command, steadyNow());
+    enqueueCommand(std::move(command), respond, makeReply(ControlStatus::Done));
 }
 
 void WorkflowHost::handle(const StatusCall& call, const Respond& respond)
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -75,7 +75,9 @@
         m_stepPermissions = &m_permissionTracker.permissionsOf(steps[i]->ref);
         m_stepSize = resourceDemand(*steps[i]->spec);
         m_stepPool = poolIndex(steps[i]->queue.pool);
-        if (steps[i]->spec->isGang)
+        if (!steps[i]->isAccepted)
+            requestPermissionsEarly(*steps[i], decisions, now);
+        else if (steps[i]->spec->isGang)
             planGang(*steps[i], decisions, now);
         else
             planTasks(*steps[i], decisions, now);
@@ -205,6 +207,15 @@
             .permissionToken = permissionToken ? *permissionToken : std::string() });
 }
 
+// A short call takes about as long as the commit of the acceptance, so the two overlap.
+void Planner::requestPermissionsEarly(const ReadyStep& step, Decisions& decisions, TimePoint now)
+{
+    if (!step.queue.permission.isNeeded || step.spec->isGang || !hasShortPermissionCall(step))
+        return;
+    requestPermissionsForTasks(step, decisions, now);
+    reserveNamedWorkers(step, step.tasks.size());
+}
+
 void Planner::planTasks(const ReadyStep& step, Decisions& decisions, TimePoint now)
 {
     const size_t before = decisions.placements.size();
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -124,6 +124,8 @@
     /// Reserves capacity for `tasks` tasks on workers named in pending permission requests, so that later steps cannot
     /// take it.
     void reserveNamedWorkers(const ReadyStep&, size_t tasks);
+    /// Requests permissions for a step of a workflow whose acceptance is being committed.
+    void requestPermissionsEarly(const ReadyStep&, Decisions&, TimePoint now);
     void planTasks(const ReadyStep&, Decisions&, TimePoint now);
     void planGang(const ReadyStep&, Decisions&, TimePoint now);
     /// Prepares a gang that cannot start yet: requests permissions, and reserves capacity or preempts runs.
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -21,6 +21,9 @@
         uint32_t nextRun { 1 };
     };
     std::vector<Task> tasks;
+    /// False while the acceptance of the workflow is being committed: nothing may start, but permissions may be
+    /// requested.
+    bool isAccepted { true };
     /// A worker has crashed under one of the tasks.
     bool isSuspect { false };
     /// Time by which the workflow must end to meet its objective, and time after which its result has no value.
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -21,11 +21,19 @@
 /// Maximum time for which the record of a first start waits for other commands; short against the time for which the
 /// number of pending workflows may be outdated.
 constexpr Duration maxStartRecordDelay = 500ms;
+/// An acceptance that is not committed after this time is not prepared any further; many times a usual commit.
+constexpr Duration maxProposalAge = 1s;
 /// Maximum number of uncommitted batches; further placements wait, so that commits do not delay each other.
 constexpr size_t maxBatchesInFlight = 4;
 
 int64_t toMs(WallTime wall) { return wall.time_since_epoch() / 1ms; }
 
+/// Time from acceptance within which a workflow meets its objective.
+Duration objectiveOf(const WorkflowSpec& spec, const Queue& queue)
+{
+    return criticalPathLength(spec) * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
+}
+
 } // namespace
 
 WorkflowScheduler::WorkflowScheduler(
@@ -66,6 +74,7 @@
     m_changedWorkflows.clear();
     m_trackedWorkflows.clear();
     m_readySteps.clear();
+    m_proposedWorkflows.clear();
     m_pendingByQueue.clear();
     m_timedWorkflows.clear();
     m_nextOccurrenceMs.clear();
@@ -78,8 +87,10 @@
 
 void WorkflowScheduler::onWorkflowChanged(const WorkflowId& id)
 {
-    if (m_isLeader)
-        m_changedWorkflows.insert(id);
+    if (!m_isLeader)
+        return;
+    m_proposedWorkflows.erase(id);
+    m_changedWorkflows.insert(id);
 }
 
 void WorkflowScheduler::onTableChanged()
@@ -90,6 +101,37 @@
         m_changedWorkflows.insert(id);
 }
 
+void WorkflowScheduler::onAcceptanceProposed(const AcceptWorkflow& command, TimePoint now)
+{
+    const Queue* queue = m_state.table().find(command.queue);
+    if (!m_isLeader || !queue || command.spec.isTimed())
+        return;
+    const auto [entry, isNew] = m_proposedWorkflows.try_emplace(command.id);
+    if (!isNew)
+        return;
+    ProposedWorkflow& proposed = entry->second;
+    proposed.spec = command.spec;
+    proposed.proposedAt = now;
+    const Duration objective = objectiveOf(proposed.spec, *queue);
+    for (uint32_t step = 0; step < proposed.spec.steps.size(); ++step) {
+        const StepSpec& spec = proposed.spec.steps[step];
+        if (!spec.dependencies.empty())
+            continue;
+        ReadyStep& ready = proposed.firstSteps.emplace_back(ReadyStep { .ref = { command.id, 0, step },
+            .spec = &spec,
+            .queue = *queue,
+            .tasks = {},
+            .isAccepted = false,
+            .deadline = now + objective,
+            .expiresAt = now + objective * expiryObjectives,
+            .criticalPath = criticalPathLengthFrom(proposed.spec, step),
+            .readySince = now,
+            .avoidedWorkers = {} });
+        for (uint32_t index = 0; index < spec.count; ++index)
+            ready.tasks.push_back({ .index = index, .nextRun = 1 });
+    }
+}
+
 void WorkflowScheduler::onWorkerReport(const WorkerReport& report, TimePoint now)
 {
     if (!m_isLeader)
@@ -295,8 +337,7 @@
     const WorkflowRecord& record, TrackedWorkflow& tracked, TimePoint now, WallTime wall)
 {
     const Queue queue = queueOf(record);
-    const Duration objective
-        = criticalPathLength(record.spec) * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
+    const Duration objective = objectiveOf(record.spec, queue);
     for (const auto& occurrence : record.occurrences) {
         TimePoint begin = tracked.acceptedAt;
         if (record.spec.isTimed()) {
@@ -451,12 +492,17 @@
 
 void WorkflowScheduler::placeReadySteps(Output& output, Batch& batch, TimePoint now)
 {
-    if (m_readySteps.empty())
-        return;
     std::vector<ReadyStep*> steps;
-    steps.reserve(m_readySteps.size());
+    steps.reserve(m_readySteps.size() + m_proposedWorkflows.size());
     for (auto& [ref, step] : m_readySteps)
         steps.push_back(&step);
+    std::erase_if(m_proposedWorkflows, [&](const auto& item) { return now - item.second.proposedAt > maxProposalAge; });
+    for (auto& [id, proposed] : m_proposedWorkflows) {
+        for (auto& step : proposed.firstSteps)
+            steps.push_back(&step);
+    }
+    if (steps.empty())
+        return;
     auto decisions = m_planner.plan(steps, now);
     output.permissionRequests = std::move(decisions.permissionRequests);
     for (const auto& run : decisions.preemptions) {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -59,6 +59,9 @@
     /// The batch is committed and applied.
     void onBatchCommitted(uint64_t batch, TimePoint now);
 
+    /// The acceptance of a workflow is about to be proposed; requests for its first steps may be prepared meanwhile.
+    void onAcceptanceProposed(const AcceptWorkflow&, TimePoint now);
+
     /// Returns a rejection if a workflow cannot meet its deadline; see AdmissionController.
     std::optional<AdmissionController::Rejection> checkAdmission(
         const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
@@ -90,6 +93,13 @@
         QueueName queue;
     };
 
+    /// A workflow whose acceptance is being committed.
+    struct ProposedWorkflow {
+        WorkflowSpec spec;
+        std::vector<ReadyStep> firstSteps; // Point into `spec`.
+        TimePoint proposedAt;
+    };
+
     void onWorkflowChanged(const WorkflowId&) override;
     void onTableChanged() override;
 
@@ -125,6 +135,7 @@
     std::set<WorkflowId> m_changedWorkflows;
     std::map<WorkflowId, TrackedWorkflow> m_trackedWorkflows;
     std::map<StepRef, ReadyStep> m_readySteps;
+    std::map<WorkflowId, ProposedWorkflow> m_proposedWorkflows;
     std::map<QueueName, size_t> m_pendingByQueue;
     /// Timed workflows by wall-clock time of the next occurrence in milliseconds.
     std::set<std::pair<int64_t, WorkflowId>> m_timedWorkflows;
