--- a/src/workflow/PlannerGangs.cpp
+++ b/src/workflow/PlannerGangs.cpp
@@ -74,33 +74,35 @@
 void Planner::prepareGang(const ReadyStep& step, Decisions& decisions, TimePoint now)
 {
     const bool needsPermission = step.queue.permission.isNeeded;
+    const bool mayRequest = needsPermission && m_permissionTracker.mayRequest(step.ref, now);
+    const bool isWaitingForFirstResponse = needsPermission && !m_stepPermissions->hasResponses();
+    const bool mayReserve = m_reservingGangs < std::max(minReservingGangs, m_workers.size() / workersPerReservingGang);
+    const bool isUrgent = now > step.latestStart() - preemptionWindow && now < step.latestStart();
+    // Most waiting gangs end here in most passes; looking at all workers for each of them would dominate the pass.
+    if (!mayRequest && (isWaitingForFirstResponse || (!mayReserve && !isUrgent)))
+        return;
     std::vector<WorkerCapacity*> unknown;
     std::vector<WorkerCapacity*> allowed;
     double capacityOfAllowed = 0; // With nothing else running on them.
     for (auto& worker : m_workers) {
-        if (!isEligible(worker, step))
+        const bool isUnknown = needsPermission && !isAllowed(worker);
+        if ((isUnknown && !mayRequest) || !isEligible(worker, step))
             continue;
-        if (needsPermission && !isAllowed(worker)) {
+        if (isUnknown) {
             unknown.push_back(&worker);
             continue;
         }
         allowed.push_back(&worker);
         capacityOfAllowed += fittingTasksWhenEmpty(worker, step);
     }
-    const bool mayRequest = needsPermission && m_permissionTracker.mayRequest(step.ref, now);
-    if (needsPermission && !m_stepPermissions->hasResponses()) {
-        if (mayRequest)
-            requestPermissionsForGang(step, unknown, 0, decisions);
-        return;
-    }
-    const bool mayReserve = m_reservingGangs < std::max(minReservingGangs, m_workers.size() / workersPerReservingGang);
+    if (isWaitingForFirstResponse)
+        return requestPermissionsForGang(step, unknown, 0, decisions);
     const auto reservation = mayReserve ? findReservation(step, allowed, step.tasks.size()) : Reservation {};
     const bool isComplete = reservation.workers.size() == step.tasks.size();
     const bool fitsNow = isComplete && reservation.startsAt <= now;
     // Too few workers were named in earlier requests, or new workers have joined.
     if (!fitsNow && mayRequest && capacityOfAllowed < gangSurplusFactor * static_cast<double>(step.tasks.size()))
         requestPermissionsForGang(step, unknown, capacityOfAllowed, decisions);
-    const bool isUrgent = now > step.latestStart() - preemptionWindow && now < step.latestStart();
     const bool isInTime = isComplete && reservation.startsAt + reservationMargin <= step.latestStart();
     if (isUrgent && !isInTime && preemptForGang(step, decisions, now))
         return;
