--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -29,6 +29,8 @@
     , m_waitTime(m_metrics.latency("hickoryknot_task_wait_seconds", "From ready to placed"))
     , m_workflowTime(m_metrics.latency("hickoryknot_workflow_seconds", "From acceptance to the final state"))
     , m_permissionTime(m_metrics.latency("hickoryknot_permission_seconds", "Calls to the permission service"))
+    , m_cycleDelay(m_metrics.latency("hickoryknot_cycle_delay_seconds", "From a due scheduling cycle to its start"))
+    , m_cycleTime(m_metrics.latency("hickoryknot_cycle_seconds", "Scheduling cycles"))
 {
 }
 
@@ -138,4 +140,10 @@
             { "granted", std::to_string(grantedWorkers) }, { "tookMs", milliseconds(callTime) } });
 }
 
+void DecisionLog::onCycle(Duration delay, Duration duration)
+{
+    m_metrics.record(m_cycleDelay, delay);
+    m_metrics.record(m_cycleTime, duration);
+}
+
 } // namespace hickoryknot
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -30,6 +30,8 @@
     void onCancelled(const workflow::WorkflowId&);
     void onPermissionResponse(
         const workflow::StepRef&, size_t requestedWorkers, size_t grantedWorkers, Duration callTime);
+    /// A scheduling cycle started `delay` after it was due and took `duration`.
+    void onCycle(Duration delay, Duration duration);
 
     /// Another host leads from now on.
     void onLeadershipEnded() { m_budget.clear(); }
@@ -57,6 +59,8 @@
     LatencyId m_waitTime;
     LatencyId m_workflowTime;
     LatencyId m_permissionTime;
+    LatencyId m_cycleDelay;
+    LatencyId m_cycleTime;
     LogBudget m_budget;
     TimePoint m_nextSummary;
 };
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -204,8 +204,8 @@
 
 void WorkflowHost::runSchedulingCycle()
 {
-    m_nextCycleAt = TimePoint::max();
     const TimePoint now = steadyNow();
+    const TimePoint dueAt = std::min(std::exchange(m_nextCycleAt, TimePoint::max()), now);
     m_nextPeriodicCycle = now + cyclePeriod;
     m_workers.setWorkerCount(m_scheduler.workerTracker().workers().size());
     if (!m_scheduler.isLeader() || !m_runner->group().hasLeaderLease(now))
@@ -218,6 +218,7 @@
         propose(output.batch, commands);
     sendWorkerRequests(output.requests);
     requestPermissions(output.permissionRequests);
+    m_log.onCycle(now - dueAt, steadyNow() - now);
 }
 
 void WorkflowHost::propose(uint64_t batch, const std::vector<WorkflowCommand>& commands)
