--- a/bench/workflow/SchedulerBench.cpp
+++ b/bench/workflow/SchedulerBench.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -11,7 +12,8 @@
 #include "workflow/WorkflowState.h"
 
 // Measures the processor time of the leader's decisions and state updates, without network and disk, for a number of
-// workers and submissions per second. Workers and the permission service respond immediately.
+// workers and submissions per second. Workers respond immediately; the permission service serves one call at a time for
+// each calling host, so that steps wait for it as they do in a deployment.
 
 namespace hickoryknot::workflow {
 
@@ -24,6 +26,12 @@
     void onWorkflowEnded(const WorkflowRecord&, Duration) override { }
 };
 
+struct Options {
+    size_t workers;
+    double load;
+    size_t permissionHosts;
+};
+
 struct Run {
     RunRef run;
     TimePoint endsAt;
@@ -58,9 +66,10 @@
 
 class Bench {
 public:
-    Bench(size_t workers, double load)
-        : m_load(load)
+    explicit Bench(const Options& options)
+        : m_load(options.load)
         , m_scheduler(m_settings, m_state, m_observer)
+        , m_hostsFreeAt(options.permissionHosts)
     {
         QueueTable table;
         table.version = 1;
@@ -69,7 +78,7 @@
         table.pools = { { .name = PoolName("pool") } };
         m_state.apply(1, encodeCommands({ ReplaceTable { table } }));
         m_scheduler.becomeLeader(1, m_now, epoch);
-        for (size_t i = 0; i < workers; ++i) {
+        for (size_t i = 0; i < options.workers; ++i) {
             Worker worker;
             worker.profile.incarnation = { .worker = WorkerId("w" + std::to_string(i)),
                 .startTimeMs = 1,
@@ -83,13 +92,16 @@
 
     void run(int seconds)
     {
-        constexpr Duration tick = 2ms;
+        // The time for which a leader of many workers collects events between scheduling cycles.
+        constexpr Duration tick = 10ms;
         for (Duration passed { 0 }; passed < seconds * Duration(1s); passed += tick) {
             m_now += tick;
             if (passed % Duration(1500ms) < tick)
                 report();
             submit(tick);
             endDueRuns();
+            respondToDuePermissionRequests();
+            ++m_cycles;
             const auto began = std::chrono::steady_clock::now();
             auto output = m_scheduler.advance(m_now, epoch + m_now.time_since_epoch());
             auto commands = std::exchange(m_submissions, {});
@@ -102,8 +114,9 @@
             respond(output);
         }
         const double spent = std::chrono::duration<double>(m_spent).count();
-        std::printf("workers %zu, load %.2f: %.3f of a processor, %.0f starts/s, %zu steps wait\n", m_workers.size(),
-            m_load, spent / seconds, static_cast<double>(m_starts) / seconds, m_scheduler.readyStepCount());
+        std::printf("workers %zu, load %.2f: %.3f of a processor, %.2f ms a cycle, %.0f starts/s, %zu steps wait\n",
+            m_workers.size(), m_load, spent / seconds, spent / static_cast<double>(m_cycles) * 1e3,
+            static_cast<double>(m_starts) / seconds, m_scheduler.readyStepCount());
     }
 
 private:
@@ -131,29 +144,36 @@
         for (const auto& workload : workloads) {
             const double expected = workload.perSecond * m_load * static_cast<double>(m_workers.size()) / 350
                 * static_cast<double>(tick.count()) / 1e6;
-            if (static_cast<double>(m_random() % 1'000'000) >= expected * 1e6)
-                continue;
-            AcceptWorkflow accept;
-            char id[17];
-            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++m_nextId));
-            accept.id = WorkflowId(id);
-            accept.queue = QueueName(workload.queue);
-            accept.pool = PoolName("pool");
-            accept.maxAttempts = 4;
-            accept.spec.command = std::string(2400, 'x');
-            accept.acceptedMs = (epoch + m_now.time_since_epoch()).time_since_epoch() / 1ms;
-            StepSpec step;
-            step.count = workload.count;
-            step.perTask
-                = { .millicores = Millicores(workload.millicores), .mebibytes = Mebibytes(1400), .accelerators = {} };
-            step.estimatedRunTime = workload.runTime;
-            step.isGang = workload.isGang;
-            step.isCheckpointing = !workload.isGang;
-            accept.spec.steps = { step };
-            m_submissions.emplace_back(std::move(accept));
+            std::poisson_distribution<int> arrivals(expected);
+            for (int left = arrivals(m_random); left; --left) {
+                StepSpec step;
+                step.count = workload.count;
+                step.perTask = {
+                    .millicores = Millicores(workload.millicores), .mebibytes = Mebibytes(1400), .accelerators = {}
+                };
+                step.estimatedRunTime = workload.runTime;
+                step.isGang = workload.isGang;
+                step.isCheckpointing = !workload.isGang;
+                submitWorkflow(workload.queue, step);
+            }
         }
     }
 
+    void submitWorkflow(const char* queue, const StepSpec& step)
+    {
+        AcceptWorkflow accept;
+        char id[17];
+        std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++m_nextId));
+        accept.id = WorkflowId(id);
+        accept.queue = QueueName(queue);
+        accept.pool = PoolName("pool");
+        accept.maxAttempts = 4;
+        accept.spec.command = std::string(2400, 'x');
+        accept.acceptedMs = (epoch + m_now.time_since_epoch()).time_since_epoch() / 1ms;
+        accept.spec.steps = { step };
+        m_submissions.emplace_back(std::move(accept));
+    }
+
     void endDueRuns()
     {
         for (auto& item : m_workers) {
@@ -194,7 +214,11 @@
         };
         for (const auto& request : output.requests.starts) {
             ++m_starts;
-            const Duration runTime(300'000 + static_cast<int64_t>(m_random() % 2'000'000));
+            // Three quarters to five quarters of the estimate; members of a gang end together.
+            const StepSpec& step
+                = m_state.find(request.run.task.step.workflow)->spec.steps.at(request.run.task.step.step);
+            const auto variation = static_cast<int64_t>(std::hash<std::string>()(describe(request.run.task.step)) % 50);
+            const Duration runTime = step.estimatedRunTime * (75 + variation) / 100;
             m_workers.at(request.incarnation).runs[request.run.task]
                 = { .run = request.run, .endsAt = m_now + runTime };
             spent([&] {
@@ -223,12 +247,25 @@
             worker.pollUntil = m_now + request.maxWait;
         }
         for (const auto& request : output.permissionRequests) {
+            TimePoint& freeAt = *std::min_element(m_hostsFreeAt.begin(), m_hostsFreeAt.end());
+            freeAt = std::max(freeAt, m_now) + request.estimatedCallTime;
+            m_pendingPermissions.emplace(freeAt, request);
+        }
+    }
+
+    void respondToDuePermissionRequests()
+    {
+        while (!m_pendingPermissions.empty() && m_pendingPermissions.begin()->first <= m_now) {
+            const PermissionRequest request = std::move(m_pendingPermissions.begin()->second);
+            m_pendingPermissions.erase(m_pendingPermissions.begin());
             PermissionResponse response;
             for (const auto& worker : request.workers) {
                 if (std::hash<std::string>()(worker.value() + describe(request.step)) % 2)
                     response.granted.push_back({ .worker = worker, .token = "ticket" });
             }
-            spent([&] { m_scheduler.onPermissionResponse(request, response, m_now); });
+            const auto began = std::chrono::steady_clock::now();
+            m_scheduler.onPermissionResponse(request, response, m_now);
+            m_spent += std::chrono::steady_clock::now() - began;
         }
     }
 
@@ -244,6 +281,9 @@
     uint64_t m_sequence { 0 };
     uint64_t m_nextId { 0 };
     size_t m_starts { 0 };
+    size_t m_cycles { 0 };
+    std::vector<TimePoint> m_hostsFreeAt; // When each host's last call to the permission service ends.
+    std::multimap<TimePoint, PermissionRequest> m_pendingPermissions;
     std::chrono::steady_clock::duration m_spent { 0 };
 };
 
@@ -256,8 +296,11 @@
     cxxopts::Options options("bench_workflow", "Processor time of the leader's decisions");
     options.add_options()("workers", "Workers", cxxopts::value<size_t>()->default_value("350"))(
         "load", "Load as a fraction of the users' larger deployment", cxxopts::value<double>()->default_value("0.8"))(
-        "seconds", "Simulated seconds", cxxopts::value<int>()->default_value("10"));
+        "seconds", "Simulated seconds", cxxopts::value<int>()->default_value("10"))(
+        "permission-hosts", "Hosts that call the permission service", cxxopts::value<size_t>()->default_value("40"));
     const auto flags = options.parse(argc, argv);
-    hickoryknot::workflow::Bench(flags["workers"].as<size_t>(), flags["load"].as<double>())
+    hickoryknot::workflow::Bench({ .workers = flags["workers"].as<size_t>(),
+                                     .load = flags["load"].as<double>(),
+                                     .permissionHosts = flags["permission-hosts"].as<size_t>() })
         .run(flags["seconds"].as<int>());
 }
