--- a/src/workflow/PermissionTracker.cpp
+++ b/src/workflow/PermissionTracker.cpp
@@ -1,7 +1,5 @@
 #include "workflow/PermissionTracker.h"
 
-#include <unordered_map>
-
 #include "workflow/TrackedWorker.h"
 
 namespace hickoryknot::workflow {
--- a/src/workflow/PermissionTracker.h
+++ b/src/workflow/PermissionTracker.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/Error.h"
@@ -53,6 +54,12 @@
         return permissions.token(worker, now + m_settings.permissionExpiryMargin);
     }
 
+    /// False if token() is null for all workers.
+    bool mayHaveTokens(const StepPermissions& permissions, TimePoint now) const
+    {
+        return permissions.mayHaveTokens(now + m_settings.permissionExpiryMargin);
+    }
+
     bool isRequestPending(const StepRef&) const;
     /// False while a request for the step is pending or its retry backoff has not passed.
     bool mayRequest(const StepRef&, TimePoint now) const;
@@ -90,7 +97,7 @@
     };
 
     const SchedulerSettings& m_settings;
-    std::map<StepRef, Step> m_steps;
+    std::unordered_map<StepRef, Step> m_steps;
     std::map<uint64_t, PendingRequest> m_pending;
     std::map<QueueName, GrantStatistics> m_grantStatistics;
     uint64_t m_nextId { 1 };
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -60,15 +60,15 @@
         if (!m_workerTracker.isUsable(tracked, now))
             continue;
         m_workers.push_back({ .tracked = &tracked,
-            .free = tracked.free(),
+            .number = tracked.number,
             .pool = poolIndex(tracked.profile.pool),
-            .plannedTaskCounts = {} });
+            .free = tracked.free() });
     }
     m_workerByNumber.clear();
     for (auto& worker : m_workers) {
-        if (worker.tracked->number >= m_workerByNumber.size())
-            m_workerByNumber.resize(worker.tracked->number + 1);
-        m_workerByNumber[worker.tracked->number] = &worker;
+        if (worker.number >= m_workerByNumber.size())
+            m_workerByNumber.resize(worker.number + 1);
+        m_workerByNumber[worker.number] = &worker;
     }
     sortSteps(steps, now);
     for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
@@ -85,11 +85,11 @@
     return decisions;
 }
 
-size_t Planner::poolIndex(const PoolName& pool)
+uint32_t Planner::poolIndex(const PoolName& pool)
 {
     const auto found
         = std::find_if(m_pools.begin(), m_pools.end(), [&](const PoolName* known) { return *known == pool; });
-    const auto index = static_cast<size_t>(found - m_pools.begin());
+    const auto index = static_cast<uint32_t>(found - m_pools.begin());
     if (found == m_pools.end())
         m_pools.push_back(&pool);
     return index;
@@ -115,9 +115,8 @@
     uint32_t limit = maxTasks;
     if (step.spec->maxPerWorker) {
         const auto present = worker.tracked->taskCountByStep.find(step.ref);
-        const auto planned = worker.plannedTaskCounts.find(step.ref);
         const uint32_t count = (present == worker.tracked->taskCountByStep.end() ? 0 : present->second)
-            + (planned == worker.plannedTaskCounts.end() ? 0 : planned->second);
+            + (worker.lastStep == &step ? worker.lastStepTasks : 0);
         limit = std::min(limit, step.spec->maxPerWorker > count ? step.spec->maxPerWorker - count : 0);
     }
     const Resources& size = m_stepSize;
@@ -133,7 +132,7 @@
 
 bool Planner::isEligible(const WorkerCapacity& worker, const ReadyStep& step) const
 {
-    if (worker.pool != m_stepPool || m_stepPermissions->isDenied(worker.tracked->number)
+    if (worker.pool != m_stepPool || m_stepPermissions->isDenied(worker.number)
         || (!step.spec->requiredLabel.empty() && !worker.tracked->profile.hasLabel(step.spec->requiredLabel)))
         return false;
     return step.avoidedWorkers.empty() || m_now - step.readySince >= avoidFailedWorkerFor
@@ -152,8 +151,8 @@
     if (!step.queue.permission.isNeeded) {
         for (auto& worker : m_workers)
             consider(worker);
-    } else {
-        for (const auto& [number, token] : m_stepPermissions->tokens()) {
+    } else if (m_permissionTracker.mayHaveTokens(*m_stepPermissions, now)) {
+        for (const uint32_t number : m_stepPermissions->allowedWorkers()) {
             if (WorkerCapacity* worker = findWorker(number))
                 consider(*worker);
         }
@@ -196,7 +195,9 @@
     const Resources borrowed = minOf(maxOf(Resources {} - worker.free, {}), worker.reserved);
     worker.free += borrowed;
     worker.reserved -= borrowed;
-    ++worker.plannedTaskCounts[step.ref];
+    if (std::exchange(worker.lastStep, &step) != &step)
+        worker.lastStepTasks = 0;
+    ++worker.lastStepTasks;
     worker.plannedSuspects += step.isSuspect ? 1 : 0;
     const std::string* permissionToken = m_permissionTracker.token(*m_stepPermissions, *worker.tracked, now);
     decisions.placements.push_back(
@@ -234,22 +235,40 @@
 
 void Planner::reserveForUrgentTasks(const ReadyStep& step, size_t tasks, TimePoint now)
 {
-    std::vector<WorkerCapacity*> workers;
+    auto workers = allowedWorkers(step);
+    if (step.queue.permission.isNeeded)
+        std::erase_if(workers, [&](const WorkerCapacity* worker) { return !hasValidToken(*worker, now); });
+    reserve(findReservation(step, workers, tasks));
+}
+
+std::vector<Planner::WorkerCapacity*> Planner::allowedWorkers(const ReadyStep& step)
+{
+    std::vector<WorkerCapacity*> allowed;
     const auto consider = [&](WorkerCapacity& worker) {
         if (isEligible(worker, step))
-            workers.push_back(&worker);
+            allowed.push_back(&worker);
     };
-    if (step.queue.permission.isNeeded) {
-        for (const auto& [number, token] : m_stepPermissions->tokens()) {
-            WorkerCapacity* worker = findWorker(number);
-            if (worker && hasValidToken(*worker, now))
-                consider(*worker);
-        }
-    } else {
+    if (!step.queue.permission.isNeeded) {
         for (auto& worker : m_workers)
             consider(worker);
+        return allowed;
     }
-    reserve(findReservation(step, workers, tasks));
+    for (const uint32_t number : m_stepPermissions->allowedWorkers()) {
+        if (WorkerCapacity* worker = findWorker(number))
+            consider(*worker);
+    }
+    std::sort(allowed.begin(), allowed.end());
+    return allowed;
+}
+
+std::vector<Planner::WorkerCapacity*> Planner::unknownWorkers(const ReadyStep& step)
+{
+    std::vector<WorkerCapacity*> unknown;
+    for (auto& worker : m_workers) {
+        if (!m_stepPermissions->isKnown(worker.number) && isEligible(worker, step))
+            unknown.push_back(&worker);
+    }
+    return unknown;
 }
 
 bool Planner::hasShortPermissionCall(const ReadyStep& step)
@@ -302,16 +321,11 @@
         bool isAllowed;
     };
     std::vector<Option> options;
-    std::vector<WorkerCapacity*> full;
     const auto demand = static_cast<uint32_t>(step.tasks.size());
     for (auto& worker : m_workers) {
-        if (!isEligible(worker, step) || hasValidToken(worker, now))
-            continue;
-        const uint32_t capacity = worker.isReserved || !fits(worker, step) ? 0 : fittingTasks(worker, step, demand);
-        if (capacity)
-            options.push_back({ &worker, capacity, isAllowed(worker) });
-        else if (!worker.isReserved)
-            full.push_back(&worker);
+        // Checks capacity first, because most workers are full under heavy load.
+        if (!worker.isReserved && fits(worker, step) && isEligible(worker, step) && !hasValidToken(worker, now))
+            options.push_back({ &worker, fittingTasks(worker, step, demand), isAllowed(worker) });
     }
     // Without any free capacity, tokens would expire before they are used.
     if (options.empty())
@@ -333,12 +347,12 @@
         expected += option.capacity * (option.isAllowed ? 1 : grantedFraction);
         named.push_back(option.worker);
     }
-    nameFullWorkers(full, named);
+    nameFullWorkers(step, named, now);
     requestPermissions(step, named, decisions);
 }
 
-// Adds the full workers on which a task will fit soonest, allowed ones first.
-void Planner::nameFullWorkers(const std::vector<WorkerCapacity*>& full, std::vector<WorkerCapacity*>& named)
+// Allowed workers come first.
+void Planner::nameFullWorkers(const ReadyStep& step, std::vector<WorkerCapacity*>& named, TimePoint now)
 {
     if (named.size() >= minNamedWorkersPerStep)
         return;
@@ -349,10 +363,12 @@
     };
     std::vector<Option> options;
     std::vector<TimePoint> slots;
-    for (auto* worker : full) {
+    for (auto& worker : m_workers) {
+        if (worker.isReserved || fits(worker, step) || !isEligible(worker, step) || hasValidToken(worker, now))
+            continue;
         slots.clear();
-        forecastOf(*worker).findSlots(worker->free, m_stepSize, 1, m_now, slots);
-        options.push_back({ worker, isAllowed(*worker), slots.empty() ? TimePoint::max() : slots.front() });
+        forecastOf(worker).findSlots(worker.free, m_stepSize, 1, m_now, slots);
+        options.push_back({ &worker, isAllowed(worker), slots.empty() ? TimePoint::max() : slots.front() });
     }
     const size_t count = std::min(options.size(), minNamedWorkersPerStep - named.size());
     std::partial_sort(options.begin(), options.begin() + static_cast<std::ptrdiff_t>(count), options.end(),
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -52,12 +51,15 @@
     /// workers lengthen the call by at most a third; objectives allow for one call of about this size per step.
     static constexpr size_t minNamedWorkersPerStep = 30;
 
-    /// Free capacity of a worker during one planning pass.
+    /// Free capacity of a worker during one planning pass. Flat, because every pass looks at all of them many times.
     struct WorkerCapacity {
         TrackedWorker* tracked;
+        uint32_t number; // As in `tracked`.
+        uint32_t pool; // Index into m_pools.
         Resources free; // Less what this pass has placed or reserved.
-        size_t pool; // Index into m_pools.
-        std::map<StepRef, uint32_t> plannedTaskCounts;
+        /// Tasks that this pass has placed here of the step that placed some here last.
+        const ReadyStep* lastStep { nullptr };
+        uint32_t lastStepTasks { 0 };
         uint32_t plannedSuspects { 0 };
         /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
@@ -101,7 +103,7 @@
     bool fits(const WorkerCapacity&, const ReadyStep&) const;
     /// True if pool, label, denials and earlier failures let the step run there; ignores free capacity and tokens.
     bool isEligible(const WorkerCapacity&, const ReadyStep&) const;
-    bool isAllowed(const WorkerCapacity& worker) const { return m_stepPermissions->isAllowed(worker.tracked->number); }
+    bool isAllowed(const WorkerCapacity& worker) const { return m_stepPermissions->isAllowed(worker.number); }
     bool hasValidToken(const WorkerCapacity& worker, TimePoint now) const
     {
         return m_permissionTracker.token(*m_stepPermissions, *worker.tracked, now) != nullptr;
@@ -114,8 +116,12 @@
     {
         return workerNumber < m_workerByNumber.size() ? m_workerByNumber[workerNumber] : nullptr;
     }
+    /// Eligible workers that may run the step, in the order of m_workers.
+    std::vector<WorkerCapacity*> allowedWorkers(const ReadyStep&);
+    /// Eligible workers of which no response says whether they may run the step.
+    std::vector<WorkerCapacity*> unknownWorkers(const ReadyStep&);
     /// Index of the pool in m_pools; adds it if missing.
-    size_t poolIndex(const PoolName&);
+    uint32_t poolIndex(const PoolName&);
     void placeTasks(const ReadyStep&, const std::vector<WorkerCapacity*>&, Decisions&, TimePoint now);
     bool placeGang(const ReadyStep&, const std::vector<WorkerCapacity*>&, Decisions&, TimePoint now);
     void allocate(WorkerCapacity&, const ReadyStep&, size_t task, Decisions&, TimePoint now);
@@ -138,7 +144,8 @@
     /// Requests new tokens for reserved workers so that they arrive when the gang can start.
     void renewTokens(const ReadyStep&, const Reservation&, const std::vector<WorkerCapacity*>& allowed, Decisions&);
     void requestPermissionsForTasks(const ReadyStep&, Decisions&, TimePoint now);
-    void nameFullWorkers(const std::vector<WorkerCapacity*>& full, std::vector<WorkerCapacity*>& named);
+    /// Adds the workers without free capacity on which a task of the step will fit soonest.
+    void nameFullWorkers(const ReadyStep&, std::vector<WorkerCapacity*>& named, TimePoint now);
     /// Requests permissions for all given workers, split into the number of calls with the shortest total time.
     void requestPermissions(const ReadyStep&, const std::vector<WorkerCapacity*>&, Decisions&);
     /// Tasks of the step that fit on the worker when nothing else runs there.
@@ -147,8 +154,8 @@
         return fittingTasksWithin(
             worker, step, worker.tracked->profile.capacity, static_cast<uint32_t>(step.tasks.size()));
     }
-    void requestPermissionsForGang(
-        const ReadyStep&, const std::vector<WorkerCapacity*>& unknown, double expected, Decisions&);
+    /// `expected`: tasks that workers which are allowed already can hold when empty.
+    void requestPermissionsForGang(const ReadyStep&, double expected, Decisions&);
     bool preemptForGang(const ReadyStep&, Decisions&, TimePoint now);
     PreemptionOption findPreemption(WorkerCapacity&, const ReadyStep&) const;
 
@@ -164,7 +171,7 @@
     // State of the step that is being planned.
     const StepPermissions* m_stepPermissions { nullptr };
     Resources m_stepSize;
-    size_t m_stepPool { 0 };
+    uint32_t m_stepPool { 0 };
     TimePoint m_now;
 };
 
--- a/src/workflow/PlannerGangs.cpp
+++ b/src/workflow/PlannerGangs.cpp
@@ -29,8 +29,7 @@
 
 // The set of allowed workers never changes, so every response also serves later decisions about the step. Names the
 // workers on which most tasks will fit when the tokens arrive and while they are valid.
-void Planner::requestPermissionsForGang(
-    const ReadyStep& step, const std::vector<WorkerCapacity*>& unknown, double expected, Decisions& decisions)
+void Planner::requestPermissionsForGang(const ReadyStep& step, double expected, Decisions& decisions)
 {
     const auto& cost = step.queue.permission;
     const TimePoint usedAt
@@ -40,8 +39,7 @@
         Millicores free;
     };
     std::vector<Option> options;
-    options.reserve(unknown.size());
-    for (auto* worker : unknown)
+    for (auto* worker : unknownWorkers(step))
         options.push_back({ worker, forecastOf(*worker).freeAt(worker->free, usedAt).millicores });
     std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
         if (a.free != b.free)
@@ -78,31 +76,23 @@
     const bool isWaitingForFirstResponse = needsPermission && !m_stepPermissions->hasResponses();
     const bool mayReserve = m_reservingGangs < std::max(minReservingGangs, m_workers.size() / workersPerReservingGang);
     const bool isUrgent = now > step.latestStart() - preemptionWindow && now < step.latestStart();
-    // Most waiting gangs end here in most passes; looking at all workers for each of them would dominate the pass.
+    // Most waiting gangs end here in most passes; looking at workers for each of them would dominate the pass.
     if (!mayRequest && (isWaitingForFirstResponse || (!mayReserve && !isUrgent)))
         return;
-    std::vector<WorkerCapacity*> unknown;
-    std::vector<WorkerCapacity*> allowed;
-    double capacityOfAllowed = 0; // With nothing else running on them.
-    for (auto& worker : m_workers) {
-        const bool isUnknown = needsPermission && !isAllowed(worker);
-        if ((isUnknown && !mayRequest) || !isEligible(worker, step))
-            continue;
-        if (isUnknown) {
-            unknown.push_back(&worker);
-            continue;
-        }
-        allowed.push_back(&worker);
-        capacityOfAllowed += fittingTasksWhenEmpty(worker, step);
-    }
     if (isWaitingForFirstResponse)
-        return requestPermissionsForGang(step, unknown, 0, decisions);
+        return requestPermissionsForGang(step, 0, decisions);
+    const auto allowed = allowedWorkers(step);
     const auto reservation = mayReserve ? findReservation(step, allowed, step.tasks.size()) : Reservation {};
     const bool isComplete = reservation.workers.size() == step.tasks.size();
     const bool fitsNow = isComplete && reservation.startsAt <= now;
-    // Too few workers were named in earlier requests, or new workers have joined.
-    if (!fitsNow && mayRequest && capacityOfAllowed < gangSurplusFactor * static_cast<double>(step.tasks.size()))
-        requestPermissionsForGang(step, unknown, capacityOfAllowed, decisions);
+    if (!fitsNow && mayRequest) {
+        double capacityOfAllowed = 0; // With nothing else running on them.
+        for (const auto* worker : allowed)
+            capacityOfAllowed += fittingTasksWhenEmpty(*worker, step);
+        // Too few workers were named in earlier requests, or new workers have joined.
+        if (capacityOfAllowed < gangSurplusFactor * static_cast<double>(step.tasks.size()))
+            requestPermissionsForGang(step, capacityOfAllowed, decisions);
+    }
     const bool isInTime = isComplete && reservation.startsAt + reservationMargin <= step.latestStart();
     if (isUrgent && !isInTime && preemptForGang(step, decisions, now))
         return;
@@ -207,10 +197,10 @@
     const bool needsPermission = step.queue.permission.isNeeded;
     std::vector<PreemptionOption> options;
     uint32_t capacity = 0;
-    for (auto& worker : m_workers) {
-        if (worker.isReserved || !isEligible(worker, step) || (needsPermission && !isAllowed(worker)))
+    for (auto* worker : allowedWorkers(step)) {
+        if (worker->isReserved)
             continue;
-        auto option = findPreemption(worker, step);
+        auto option = findPreemption(*worker, step);
         capacity += option.capacity;
         if (option.capacity)
             options.push_back(std::move(option));
--- a/src/workflow/StepPermissions.cpp
+++ b/src/workflow/StepPermissions.cpp
@@ -1,5 +1,7 @@
 #include "workflow/StepPermissions.h"
 
+#include <algorithm>
+
 #include "workflow/TrackedWorker.h"
 
 namespace hickoryknot::workflow {
@@ -19,12 +21,20 @@
     m_decisions[workerNumber] = decision;
 }
 
-void StepPermissions::deny(uint32_t workerNumber) { set(workerNumber, Decision::Denied); }
+void StepPermissions::deny(uint32_t workerNumber)
+{
+    if (isAllowed(workerNumber))
+        std::erase(m_allowedWorkers, workerNumber);
+    set(workerNumber, Decision::Denied);
+}
 
 void StepPermissions::allow(
     uint32_t workerNumber, const WorkerIncarnation& incarnation, std::string token, TimePoint expiresAt)
 {
+    if (!isAllowed(workerNumber))
+        m_allowedWorkers.push_back(workerNumber);
     set(workerNumber, Decision::Allowed);
+    m_lastExpiry = std::max(m_lastExpiry, expiresAt);
     m_tokens[workerNumber] = { .incarnation = incarnation, .value = std::move(token), .expiresAt = expiresAt };
 }
 
--- a/src/workflow/StepPermissions.h
+++ b/src/workflow/StepPermissions.h
@@ -37,8 +37,11 @@
     void deny(uint32_t workerNumber);
     void allow(uint32_t workerNumber, const WorkerIncarnation&, std::string token, TimePoint expiresAt);
 
-    /// By worker number; may include expired tokens.
-    const std::unordered_map<uint32_t, Token>& tokens() const { return m_tokens; }
+    /// False if no token is valid for a start that arrives by `arrivesAt`.
+    bool mayHaveTokens(TimePoint arrivesAt) const { return arrivesAt < m_lastExpiry; }
+
+    /// Numbers of the allowed workers, with or without a token.
+    const std::vector<uint32_t>& allowedWorkers() const { return m_allowedWorkers; }
 
     /// Workers named in pending requests.
     const std::vector<uint32_t>& pendingWorkers() const { return m_pendingWorkers; }
@@ -54,7 +57,9 @@
     void set(uint32_t workerNumber, Decision);
 
     std::vector<Decision> m_decisions; // Indexed by worker number.
-    std::unordered_map<uint32_t, Token> m_tokens;
+    std::vector<uint32_t> m_allowedWorkers;
+    std::unordered_map<uint32_t, Token> m_tokens; // By worker number.
+    TimePoint m_lastExpiry { TimePoint::min() }; // Of all tokens so far.
     std::vector<uint32_t> m_pendingWorkers;
 };
 
--- a/src/workflow/WorkflowIds.h
+++ b/src/workflow/WorkflowIds.h
@@ -46,3 +46,12 @@
 std::string describe(const StepRef&);
 
 } // namespace hickoryknot::workflow
+
+template <> struct std::hash<hickoryknot::workflow::StepRef> {
+    size_t operator()(const hickoryknot::workflow::StepRef& ref) const noexcept
+    {
+        // The steps of a workflow that exist at the same time differ in the step, but hardly ever in the occurrence
+        // only.
+        return std::hash<hickoryknot::workflow::WorkflowId>()(ref.workflow) + ref.step;
+    }
+};
