--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "workflow/RunController.h"
 #include "workflow/StepOrder.h"
@@ -27,6 +28,13 @@
 /// Tasks of a step that must start within this time reserve the capacity in which they will fit soonest; otherwise less
 /// urgent work takes each part of it as it is released.
 constexpr Duration urgentWindow = 500ms;
+/// Time between passes that plan all steps. With many waiting steps such a pass takes milliseconds, which the start of
+/// each short task would wait for several times.
+constexpr Duration fullPassInterval = 30ms;
+/// A pass over this many steps is short.
+constexpr size_t maxStepsPerShortPass = 16;
+/// A step is patient if the time between full passes is at most this fraction of its run time.
+constexpr int64_t patienceDivisor = 80;
 /// A task uses capacity that is reserved for a gang if it ends before the gang starts even when it takes this much
 /// longer than estimated.
 constexpr int64_t backfillMarginPercent = 25;
@@ -37,13 +45,27 @@
 
 } // namespace
 
-void Planner::sortSteps(std::vector<ReadyStep*>& steps, TimePoint now)
+bool Planner::isPatient(const ReadyStep& step)
+{
+    return step.spec->estimatedRunTime >= fullPassInterval * patienceDivisor;
+}
+
+// A pass that is not full plans the steps that come before all patient ones. They are decided as in a full pass,
+// because no decision depends on later steps.
+void Planner::sortSteps(std::vector<ReadyStep*>& steps, bool isFullPass, TimePoint now)
 {
     std::vector<std::pair<StepOrder, ReadyStep*>> ordered;
     ordered.reserve(steps.size());
-    for (auto* step : steps)
-        ordered.emplace_back(StepOrder(*step, now), step);
+    std::optional<StepOrder> firstPatient;
+    for (auto* step : steps) {
+        const StepOrder& order = ordered.emplace_back(StepOrder(*step, now), step).first;
+        if (isPatient(*step) && (!firstPatient || order < *firstPatient))
+            firstPatient = order;
+    }
+    if (!isFullPass && firstPatient)
+        std::erase_if(ordered, [&](const auto& item) { return !(item.first < *firstPatient); });
     std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    steps.resize(ordered.size());
     for (size_t i = 0; i < steps.size(); ++i)
         steps[i] = ordered[i].second;
 }
@@ -70,7 +92,10 @@
             m_workerByNumber.resize(worker.number + 1);
         m_workerByNumber[worker.number] = &worker;
     }
-    sortSteps(steps, now);
+    const bool isFullPass = steps.size() <= maxStepsPerShortPass || now >= m_nextFullPassAt;
+    if (isFullPass)
+        m_nextFullPassAt = now + fullPassInterval;
+    sortSteps(steps, isFullPass, now);
     for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
         m_stepPermissions = &m_permissionTracker.permissionsOf(steps[i]->ref);
         m_stepSize = resourceDemand(*steps[i]->spec);
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -41,8 +41,10 @@
         std::vector<RunRef> preemptions;
     };
 
-    /// Places the tasks that fit and sorts `steps` into scheduling order. The only state that it changes is the list of
-    /// pending permission requests; the caller must allocate each placement on its worker before the next call.
+    /// Places the tasks that fit and sorts `steps` into scheduling order. Most of many waiting steps are left out of
+    /// most passes, so it must be called at least every fullPassInterval. The only state that it changes for other
+    /// decisions is the list of pending permission requests; the caller must allocate each placement on its worker
+    /// before the next call.
     Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now);
 
 private:
@@ -89,7 +91,9 @@
         double cost { 0 }; // Preempted millicores per task that fits.
     };
 
-    static void sortSteps(std::vector<ReadyStep*>&, TimePoint now);
+    static void sortSteps(std::vector<ReadyStep*>&, bool isFullPass, TimePoint now);
+    /// True if waiting for the next full pass adds little to the run time of the step.
+    static bool isPatient(const ReadyStep&);
     static bool isPreemptible(const TrackedRun&, const ReadyStep&);
     uint32_t fittingTasksWithin(
         const WorkerCapacity&, const ReadyStep&, const Resources& free, uint32_t maxTasks) const;
@@ -166,6 +170,7 @@
     std::vector<WorkerCapacity*> m_workerByNumber; // Null if the worker is not usable.
     std::vector<CachedForecast> m_forecasts; // By worker number.
     uint64_t m_pass { 0 };
+    TimePoint m_nextFullPassAt;
     size_t m_reservingGangs { 0 };
     std::vector<const PoolName*> m_pools;
     // State of the step that is being planned.
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(recordedWorkerGetsNoTasksBeforeItResponds);
     CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
     CPPUNIT_TEST(tasksThatMayHaveCrashedAWorkerRunApart);
+    CPPUNIT_TEST(shortUrgentWorkDoesNotWaitForPassesOverAllWaitingWork);
     CPPUNIT_TEST(planIsDeterministic);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), placements[1].incarnation.worker.value());
     }
 
+    // Guards against a leader that plans hundreds of waiting steps before each start of a short task, and against long
+    // work that is then never planned.
+    void shortUrgentWorkDoesNotWaitForPassesOverAllWaitingWork()
+    {
+        constexpr int64_t wholeWorker = 4000;
+        auto longStep = samples::step(1, wholeWorker);
+        longStep.estimatedRunTime = 5s;
+        for (int i = 0; i < 100; ++i)
+            addStep(WorkflowId("00000000000001" + std::to_string(100 + i).substr(1)), longStep, 1);
+        CPPUNIT_ASSERT(plan().placements.empty());
+        addWorker("a", 3 * wholeWorker);
+        addStep(samples::firstId, samples::step(1));
+        m_now += 10ms;
+        // Decided as in a pass over all steps, but only for what comes first.
+        auto placements = plan().placements;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, placements.size());
+        CPPUNIT_ASSERT(placements.front().run.task.step.workflow == samples::firstId);
+        m_now += 50ms;
+        placements = plan().placements;
+        CPPUNIT_ASSERT_EQUAL(size_t { 3 }, placements.size());
+        CPPUNIT_ASSERT(placements.front().run.task.step.workflow == samples::firstId);
+        CPPUNIT_ASSERT(placements.back().run.task.step.workflow != samples::firstId);
+    }
+
     // Guards against fragmentation that leaves no capacity for large tasks.
     void packsSmallTasksOntoFullWorkers()
     {
