--- a/src/workflow/CapacityForecast.h
+++ b/src/workflow/CapacityForecast.h
@@ -26,6 +26,8 @@
     /// Claims the capacity of one task that starts at `at`: what is released until then, and as little as possible of
     /// `free`, which it reduces. Returns what it took from `free`.
     Resources claim(Resources& free, const Resources& size, TimePoint at);
+    /// False once a run should have ended: a new forecast would expect it later.
+    bool isCurrent(TimePoint now) const { return m_expected.empty() || now < m_expected.front().at; }
     /// Expected free capacity at a later time.
     Resources freeAt(Resources free, TimePoint at) const;
 
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -38,8 +38,8 @@
 /// A task uses capacity that is reserved for a gang if it ends before the gang starts even when it takes this much
 /// longer than estimated.
 constexpr int64_t backfillMarginPercent = 25;
-/// Expected ends of runs are estimates, so that a forecast of this age is as good as a new one.
-constexpr Duration maxForecastAge = 50ms;
+/// Expected ends change with reported progress, which each worker with runs sends at least this often.
+constexpr Duration maxForecastAge = 1s;
 /// Time for which a step avoids workers on which it failed, even if no other worker fits; about one run time.
 constexpr Duration avoidFailedWorkerFor = 3s;
 
@@ -434,7 +434,7 @@
     if (std::exchange(cached.pass, m_pass) == m_pass)
         return cached.forecast;
     const bool isCurrent = cached.used == tracked.used && m_now - cached.builtAt <= maxForecastAge
-        && cached.incarnation == tracked.incarnation();
+        && cached.forecast.isCurrent(m_now) && cached.incarnation == tracked.incarnation();
     if (isCurrent) {
         cached.forecast.reset();
         return cached.forecast;
--- a/tests/workflow/CapacityForecastTest.cpp
+++ b/tests/workflow/CapacityForecastTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(reportedProgressGoesBeforeTheEstimate);
     CPPUNIT_TEST(overrunningRunIsExpectedLater);
     CPPUNIT_TEST(longRunningTasksReleaseNothing);
+    CPPUNIT_TEST(forecastIsCurrentUntilARunIsOverdue);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_now { 100s };
@@ -52,6 +53,16 @@
         return found;
     }
 
+    // Guards against capacity that is promised for now, again and again, while the run that holds it is overdue.
+    void forecastIsCurrentUntilARunIsOverdue()
+    {
+        addRun(3, 4s, 1s);
+        addRun(2, 1s, 0s);
+        build();
+        CPPUNIT_ASSERT(m_forecast.isCurrent(m_now + 900ms));
+        CPPUNIT_ASSERT(!m_forecast.isCurrent(m_now + 1s));
+    }
+
     // Guards against gangs that wait until workers are empty: a task fits as soon as enough of the runs have ended.
     void slotsFollowExpectedEnds()
     {
