--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(invalidPollResponsesAreRejected);
     CPPUNIT_TEST(rejectionReasonsAreDecoded);
     CPPUNIT_TEST(onlyCallsNotExecutedAreReportedSo);
+    CPPUNIT_TEST(numbersBeyondTheirTypeAreRejected);
     CPPUNIT_TEST(randomAndMutatedInputIsHandled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -200,6 +201,21 @@
         CPPUNIT_ASSERT(decodePollResponse(httpResponse(421, "{}")).error().code == ErrorCode::Conflict);
     }
 
+    // Guards against numbers that are cut off: 4294967297 is not run 1, and 4294967296 is not step 0.
+    void numbersBeyondTheirTypeAreRejected()
+    {
+        for (const char* body : { R"({"clockMs":5,"running":[["a.0.0.0",4294967297]]})",
+                 R"({"clockMs":5,"ended":[[1,"a.0.0.0",4294967297,"done",""]]})" })
+            CPPUNIT_ASSERT_MESSAGE(body, !decodePollResponse(httpResponse(200, body)));
+        const auto submitted = decodeSubmission(R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})");
+        CPPUNIT_ASSERT(!submitted || !checkWorkflowSpec(*submitted));
+        auto wrongPort = json::parse(settings);
+        for (const int64_t port : { -1, 0, 65536, 65537 }) {
+            wrongPort["internalPortRange"] = { port, 65539 };
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(port), !decodeSettings(wrongPort.dump()));
+        }
+    }
+
     void rejectionReasonsAreDecoded()
     {
         // Guards against treating a rejection as a start or as a missing response.
