--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -41,10 +41,10 @@
         std::vector<RunRef> preemptions;
     };
 
-    /// Places the tasks that fit and sorts `steps` into scheduling order. Most of many waiting steps are left out of
-    /// most passes, so it must be called at least every fullPassInterval. The only state that it changes for other
-    /// decisions is the list of pending permission requests; the caller must allocate each placement on its worker
-    /// before the next call.
+    /// Places the tasks that fit and leaves in `steps`, in scheduling order, the steps that were planned: all of them
+    /// if they are few, otherwise all every 30 ms, and in between those that come before any long work. Must therefore
+    /// be called at least that often. The only state that it changes for other decisions is the list of pending
+    /// permission requests; the caller must allocate each placement on its worker before the next call.
     Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now);
 
 private:
@@ -59,9 +59,8 @@
         uint32_t number; // As in `tracked`.
         uint32_t pool; // Index into m_pools.
         Resources free; // Less what this pass has placed or reserved.
-        /// Tasks that this pass has placed here of the step that placed some here last.
-        const ReadyStep* lastStep { nullptr };
-        uint32_t lastStepTasks { 0 };
+        const ReadyStep* lastStep { nullptr }; // The step of which this pass has placed tasks here last.
+        uint32_t lastStepTasks { 0 }; // How many of its tasks.
         uint32_t plannedSuspects { 0 };
         /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
@@ -91,6 +90,7 @@
         double cost { 0 }; // Preempted millicores per task that fits.
     };
 
+    /// Sorts the steps and removes those that this pass does not plan.
     static void sortSteps(std::vector<ReadyStep*>&, bool isFullPass, TimePoint now);
     /// True if waiting for the next full pass adds little to the run time of the step.
     static bool isPatient(const ReadyStep&);
