--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -20,6 +20,9 @@
 constexpr uint32_t maxCrashes = 3;
 /// The same with crashes before the acknowledgement of a start, each of which is weaker evidence.
 constexpr uint32_t maxCrashesWithUnconfirmed = 4;
+/// The same if no start was acknowledged: none of the workers may have had a run of the task. If all had, this many is
+/// the most that the platform allows, which is two more starts after three crashes.
+constexpr uint32_t maxUnconfirmedCrashes = 5;
 
 } // namespace
 
@@ -272,7 +275,8 @@
         return;
     task.crashes += entry.outcome == RunOutcome::WorkerCrashed ? 1 : 0;
     task.unconfirmedCrashes += entry.outcome == RunOutcome::WorkerMayHaveCrashed ? 1 : 0;
-    if (task.crashes >= maxCrashes || task.crashes + task.unconfirmedCrashes >= maxCrashesWithUnconfirmed)
+    const uint32_t maxCrashesOfBothKinds = task.crashes ? maxCrashesWithUnconfirmed : maxUnconfirmedCrashes;
+    if (task.crashes >= maxCrashes || task.crashes + task.unconfirmedCrashes >= maxCrashesOfBothKinds)
         return fail(record, step, task, FailureCause::WorkerCrashes);
     if (spec.isLongRunning)
         return;
