Show a job that waits behind a burst for a scarce kind of minion

The planner looks at the first 256 steps only. A burst of urgent work that only one minion may run keeps an accepted job without requirements from seven idle minions.

--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -193,6 +193,44 @@
     return isBroken ? Verdict::Broken : Verdict::Held;
 }
 
+Verdict playFailingService(const CaseOptions& options)
+{
+    constexpr Duration failsAfter = 1s;
+    constexpr uint32_t failures = 5;
+    // A task that lasts has to run again this long after its last run, and 3 s more make the rule broken.
+    constexpr Duration restartTime = 6s;
+    constexpr Duration idleTime = 3s;
+    uint32_t starts = 0;
+    Scene scene(options.folder, options.recordFile,
+        { .minions = 8,
+            .kindOf = [](size_t minion) { return std::string(minion ? "a" : "b"); },
+            .behaviourOf =
+                [&](const std::string&) {
+                    const bool fails = options.hasTrouble && ++starts <= failures;
+                    return TaskBehaviour { .workTime = fails ? failsAfter : Duration(3600s), .fails = fails };
+                } });
+    scene.start(Scene::makeConfig(7));
+    const json job { { "spec", "proof server" },
+        { "steps",
+            { { { "count", 1 }, { "cpu", 4000 }, { "memMb", 4000 }, { "estimateMs", 600000 }, { "longRunning", true },
+                { "requirements", "b" } } } } };
+    scene.submit(jobPath(1), job);
+    scene.runFor(60s);
+    const auto& runs = scene.record().runs();
+    size_t gaps = 0;
+    for (size_t i = 0; i < runs.size(); ++i) {
+        const TimePoint next = i + 1 < runs.size() ? runs[i + 1].startedAt : steadyNow();
+        if (!runs[i].endedAt)
+            continue;
+        const Duration gap = next - *runs[i].endedAt;
+        scene.record().line(fmt::format("run {} ended {}; nothing ran for {} ms", runs[i].run, runs[i].how, gap / 1ms));
+        gaps += gap > restartTime + idleTime ? 1 : 0;
+    }
+    scene.record().line(fmt::format("the job is shown as {}; {} starts, {} times nothing ran for over 9 s",
+        scene.stateOf(jobPath(1)), runs.size(), gaps));
+    return gaps ? Verdict::Broken : Verdict::Held;
+}
+
 Verdict playReplacedRoute(const CaseOptions& options)
 {
     constexpr Duration finishTime = 14s;
@@ -299,4 +337,72 @@
     return late ? Verdict::Broken : Verdict::Held;
 }
 
+Verdict playWaitingBurst(const CaseOptions& options)
+{
+    // The site's lookups: 30.7 a second, and 2.1 times as many in a burst of 4 s.
+    constexpr double usualRate = 30.7;
+    constexpr double burstFactor = 2.1;
+    constexpr Duration burstTime = 4s;
+    constexpr Duration trafficTime = 5500ms;
+    constexpr Duration finishTime = 14s;
+    constexpr Duration idleTime = 3s;
+    const auto isLookup = [](const std::string& task) { return !task.starts_with(jobId(0)); };
+    Scene scene(options.folder, options.recordFile,
+        { .minions = 8,
+            .kindOf = [](size_t minion) { return std::string(minion ? "a" : "b"); },
+            .behaviourOf
+            = [&](const std::string& task) { return TaskBehaviour { .workTime = isLookup(task) ? 20s : 2s }; } });
+    json config = Scene::makeConfig(7);
+    config["routes"][0]["priority"] = 2;
+    json lookups = config["routes"][0];
+    lookups.update({ { "name", "r-lookup" }, { "pathPrefix", "/lookup/" }, { "priority", 0 }, { "stretch", 1.5 },
+        { "targetLatencyMs", 250 } });
+    config["routes"].push_back(lookups);
+    scene.start(config);
+    const json lookup { { "spec", "lookup" },
+        { "steps",
+            { { { "count", 1 }, { "cpu", 100 }, { "memMb", 8192 }, { "estimateMs", 20000 },
+                { "requirements", "b" } } } } };
+    unsigned accepted = 0;
+    unsigned sent = 0;
+    const TimePoint begin = steadyNow();
+    while (steadyNow() - begin < trafficTime) {
+        const auto passed = static_cast<double>((steadyNow() - begin).count()) / 1e6;
+        const double inBurst = options.hasTrouble ? std::min(passed, static_cast<double>(burstTime / 1s)) : 0;
+        if (sent >= usualRate * (passed + (burstFactor - 1) * inBurst)) {
+            scene.runFor(5ms);
+            continue;
+        }
+        const std::string path = "/lookup/" + jobId(++sent);
+        accepted += scene.consumer(sent % Cell::entries, "POST", path, lookup.dump()).status == 200 ? 1 : 0;
+    }
+    scene.record().line(
+        fmt::format("{} of {} lookups accepted; they need a minion of kind b, of which there is one, with "
+                    "room for four",
+            accepted, sent));
+    const json job { { "spec", "folio" },
+        { "steps", { { { "count", 2 }, { "cpu", 1000 }, { "memMb", 1000 }, { "estimateMs", 2000 } } } } };
+    scene.submit(jobPath(0), job);
+    const TimePoint lastRequest = steadyNow();
+    const auto hasStarted = [&] { return startsOf(scene.record(), jobId(0)) > 0; };
+    scene.runUntil([&] { return steadyNow() - lastRequest > finishTime; }, finishTime);
+    const std::string state = scene.stateOf(jobPath(0));
+    const bool isIdle = !hasStarted() && !scene.runUntil(hasStarted, idleTime);
+    size_t idleMinions = 0;
+    for (size_t i = 0; i < scene.fleet().size(); ++i)
+        idleMinions += scene.fleet().running(i) ? 0 : 1;
+    scene.record().line(
+        fmt::format("{} s after the last request the job without requirements is shown as {}; {} of its "
+                    "tasks have started; {} of {} minions run nothing",
+            finishTime / 1s, state, startsOf(scene.record(), jobId(0)), idleMinions, scene.fleet().size()));
+    if (!isIdle)
+        return Verdict::Held;
+    scene.record().line("LOST: for 3 s the job has nothing running while its tasks' turn has come");
+    scene.runUntil(hasStarted, 40s);
+    scene.record().line(hasStarted()
+            ? fmt::format("its first task starts {} s after the last request", (steadyNow() - lastRequest) / 1s)
+            : fmt::format("it has not started {} s after the last request", (steadyNow() - lastRequest) / 1s));
+    return Verdict::Broken;
+}
+
 } // namespace hickoryknot::review
--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -18,9 +18,13 @@
 Verdict playForeignReport(const CaseOptions&);
 /// One machine crashes three times, and a task that lasts is on it.
 Verdict playUnstableMinion(const CaseOptions&);
+/// A task that lasts fails some times in a row on the only minion of its kind.
+Verdict playFailingService(const CaseOptions&);
 /// A route with advice is replaced by another one at its place while a job of its queue is at work.
 Verdict playReplacedRoute(const CaseOptions&);
 /// An entry process stands still with a consumer's submission, and the consumer cancels.
 Verdict playPausedEntry(const CaseOptions&);
+/// A burst of urgent jobs waits for the only minion of its kind, and a job without requirements comes after it.
+Verdict playWaitingBurst(const CaseOptions&);
 
 } // namespace hickoryknot::review
--- a/review/standin/Fleet.cpp
+++ b/review/standin/Fleet.cpp
@@ -345,8 +345,8 @@
     const json body { { "service", m_options.service }, { "address", formatEndpoint(minion.endpoint) },
         { "zone", minion.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "warmupLeftMs", 0 },
         { "capacity", { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", 0 } } },
-        { "labels", { "a", minion.rack } }, { "clockMs", clockOf(minion) }, { "sequence", ++minion.sequence },
-        { "born", minion.born } };
+        { "labels", { m_options.kindOf(index), minion.rack } }, { "clockMs", clockOf(minion) },
+        { "sequence", ++minion.sequence }, { "born", minion.born } };
     HttpRequest request { .method = "PUT",
         .target = "/instances/" + minion.id,
         .headers = { { "Content-Type", "application/json" } },
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -24,6 +24,8 @@
     int64_t cpu { 16000 };
     int64_t memMb { 32768 };
     std::string service { "svc-render" };
+    /// Kind of each minion, its first label.
+    std::function<std::string(size_t minion)> kindOf = [](size_t) { return std::string("a"); };
     std::function<TaskBehaviour(const std::string& task)> behaviourOf;
     /// Tells whether a start on this task's queue needs a ticket.
     std::function<bool(const std::string& task)> needsTicket = [](const std::string&) { return false; };
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -29,8 +29,10 @@
         { "many-ends", playManyEnds },
         { "foreign-report", playForeignReport },
         { "unstable-minion", playUnstableMinion },
+        { "failing-service", playFailingService },
         { "replaced-route", playReplacedRoute },
         { "paused-entry", playPausedEntry },
+        { "waiting-burst", playWaitingBurst },
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end())
