Wait for the rest of a list of ends before a run counts as lost

Cause: a worker lists 500 ends at a time. RunController took a run that is in neither list to be lost, also when the list of ends was full and more were to follow. The class: a list that may be cut short is taken for a whole one. A poll response without one of its lists, and a permission response without its list, were read as empty lists in the same way.

The lease had not lapsed.

Change: the adapter marks a full list as one that may go on (PollResponse::hasMoreEnds, passed on by worker proxies). Until the last list nothing follows from a missing run: none ends as lost, inherited and stopped runs stay undecided, and the worker gets no new tasks after a change of the leader. The rest is polled without waiting. Ends are sorted by number. Missing lists are errors, and the calls are repeated.

Why this works: ends beyond the listed ones are confirmed by number, so the worker lists them in later responses, and only a list that is not full proves that a run has no unlisted end.

--- a/src/control/WorkerProxyMessages.cpp
+++ b/src/control/WorkerProxyMessages.cpp
@@ -51,12 +51,12 @@
 }
 void visitFields(FieldWriter& visit, const PollResponse& x)
 {
-    visit(x.clock, x.running, x.ended);
+    visit(x.clock, x.running, x.ended, x.hasMoreEnds);
     writeOptional(visit, x.startTimeMs);
 }
 void visitFields(FieldReader& visit, PollResponse& x)
 {
-    visit(x.clock, x.running, x.ended);
+    visit(x.clock, x.running, x.ended, x.hasMoreEnds);
     readOptional(visit, x.startTimeMs);
 }
 
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -328,8 +328,9 @@
     // Until the received ends are committed, another poll would return them again immediately.
     if (worker.lastRecordedEnd < worker.lastReceivedEnd)
         return;
-    // The first poll and polls after a failure return immediately, because the running tasks must be known soon.
-    const bool mayWait = worker.hasConfirmedFence && !worker.consecutiveFailedCalls && hasRuns;
+    // The first poll and polls after a failure return immediately, because the running tasks must be known soon; so do
+    // polls for the rest of a list of ends.
+    const bool mayWait = worker.hasConfirmedFence && !worker.consecutiveFailedCalls && !worker.hasMoreEnds && hasRuns;
     // Each renewal that may still arrive postpones the time at which the runs count as lost. A worker that does not
     // respond therefore gets no renewals; otherwise its runs could never be started elsewhere.
     const bool isRenewing = hasRuns && !worker.consecutiveFailedCalls;
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -150,6 +150,7 @@
     if (worker->leavingSince && sentAt > *worker->leavingSince)
         worker->leavingSince = now;
     worker->lastConfirmedEnd = std::max(worker->lastConfirmedEnd, request.lastRecordedEnd);
+    worker->hasMoreEnds = response->hasMoreEnds;
     handleReportedRuns(*worker, *response, sentAt, now);
     worker->nextPollAt = now;
 }
@@ -183,6 +184,9 @@
         if (found != m_runs.end() && found->second.incarnation.worker == worker.incarnation().worker)
             finish(found->second, item.outcome, item.checkpoint, now);
     }
+    // A run that is not listed may be among the ends that the worker holds back.
+    if (response.hasMoreEnds)
+        return;
     evaluateUnreportedRuns(worker, reported, sentAt, now);
     worker.hasInheritedRuns = false;
     std::erase_if(m_orphans, [&](const auto& orphan) {
@@ -191,7 +195,7 @@
     });
 }
 
-// Evaluates runs that the worker lists neither as running nor as ended.
+// Evaluates runs that the worker lists neither as running nor as ended; its lists must be complete.
 void RunController::evaluateUnreportedRuns(
     TrackedWorker& worker, const std::set<RunRef>& reported, TimePoint sentAt, TimePoint now)
 {
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -36,6 +36,7 @@
     /// The worker has responded to a poll of this leadership, so it rejects earlier leaders.
     bool hasConfirmedFence { false };
     bool hasInheritedRuns { false }; // Some runs were placed by an earlier leader and are not yet reported to this one.
+    bool hasMoreEnds { false }; // As in the latest poll response.
     bool isPollInFlight { false };
     TimePoint nextPollAt;
     uint64_t lastReceivedEnd { 0 }; // Highest end number received.
--- a/src/workflow/WorkerRequests.h
+++ b/src/workflow/WorkerRequests.h
@@ -84,6 +84,9 @@
     std::optional<int64_t> startTimeMs;
     std::vector<ReportedRun> running;
     std::vector<ReportedEnd> ended;
+    /// The worker may hold further ends, which it lists once these are confirmed. A run that is in neither list may be
+    /// among them.
+    bool hasMoreEnds { false };
 };
 
 } // namespace hickoryknot::workflow
--- a/tests/control/WorkerProxyTest.cpp
+++ b/tests/control/WorkerProxyTest.cpp
@@ -128,12 +128,15 @@
         WorkerResponseBatch responses { .proxy = HostId("b:1"), .fence = 5 };
         responses.runResults.push_back(
             { 1, { .status = WorkerRequestStatus::NoCapacity, .clock = 8, .startTimeMs = std::nullopt } });
+        responses.pollResults.push_back(
+            { 2, { .clock = 8, .startTimeMs = std::nullopt, .running = {}, .ended = {}, .hasMoreEnds = true } });
         responses.pollFailures.push_back({ 3, { ErrorCode::Conflict, "another incarnation" } });
         const auto decodedResponses = decodeWorkerResponses(encodeWorkerResponses(responses));
         CPPUNIT_ASSERT(decodedResponses);
         CPPUNIT_ASSERT(WorkerRequestStatus::NoCapacity == decodedResponses->runResults[0].response.status);
         CPPUNIT_ASSERT_EQUAL(WorkerClockMs { 8 }, *decodedResponses->runResults[0].response.clock);
         CPPUNIT_ASSERT(!decodedResponses->runResults[0].response.startTimeMs);
+        CPPUNIT_ASSERT(decodedResponses->pollResults[0].response.hasMoreEnds);
         CPPUNIT_ASSERT(ErrorCode::Conflict == decodedResponses->pollFailures[0].error.code);
     }
 
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(taskNamesRoundTrip);
     CPPUNIT_TEST(pollResponseIsDecoded);
     CPPUNIT_TEST(invalidPollResponsesAreRejected);
+    CPPUNIT_TEST(fullListOfEndsMayBeCutShort);
+    CPPUNIT_TEST(missingListIsNoEmptyList);
     CPPUNIT_TEST(rejectionReasonsAreDecoded);
     CPPUNIT_TEST(onlyCallsNotExecutedAreReportedSo);
     CPPUNIT_TEST(numbersBeyondTheirTypeAreRejected);
@@ -201,6 +203,40 @@
         CPPUNIT_ASSERT(decodePollResponse(httpResponse(421, "{}")).error().code == ErrorCode::Conflict);
     }
 
+    // Guards against taking the ends that fit in one response for all of them.
+    void fullListOfEndsMayBeCutShort()
+    {
+        constexpr size_t listLimit = 500; // Of the platform's protocol.
+        json ended = json::array();
+        const auto decode = [&] {
+            const json body { { "clockMs", 5 }, { "running", json::array() }, { "ended", ended } };
+            const auto decoded = decodePollResponse(httpResponse(200, body.dump()));
+            CPPUNIT_ASSERT(decoded);
+            return *decoded;
+        };
+        // In any order: an end that follows a later one would count as received already.
+        for (size_t number = listLimit - 1; number > 0; --number)
+            ended.push_back({ number, "a.0.0." + std::to_string(number), 1, "done", "" });
+        CPPUNIT_ASSERT(!decode().hasMoreEnds);
+        ended.push_back({ listLimit, "a.0.0.0", 1, "done", "" });
+        const auto full = decode();
+        CPPUNIT_ASSERT(full.hasMoreEnds);
+        for (size_t i = 0; i < listLimit; ++i)
+            CPPUNIT_ASSERT_EQUAL(uint64_t { i + 1 }, full.ended[i].number);
+    }
+
+    // Guards against runs that count as lost, and workers that count as denied, because a response lacks its list.
+    void missingListIsNoEmptyList()
+    {
+        CPPUNIT_ASSERT(decodePollResponse(httpResponse(200, R"({"clockMs":5,"running":[],"ended":[]})")));
+        for (const char* body : { R"({"clockMs":5,"running":[]})", R"({"clockMs":5,"ended":[]})",
+                 R"({"clockMs":5,"running":null,"ended":[]})" })
+            CPPUNIT_ASSERT_MESSAGE(body, !decodePollResponse(httpResponse(200, body)));
+        CPPUNIT_ASSERT(decodePermissionServiceResponse(httpResponse(200, R"({"granted":[]})")));
+        for (const char* body : { "{}", R"({"granted":null})", R"({"validMs":5})" })
+            CPPUNIT_ASSERT_MESSAGE(body, !decodePermissionServiceResponse(httpResponse(200, body)));
+    }
+
     // Guards against numbers that are cut off: 4294967297 is not run 1, and 4294967296 is not step 0.
     void numbersBeyondTheirTypeAreRejected()
     {
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -46,6 +46,8 @@
             recordStart(run);
             return behaviourOf(run);
         }));
+        // Few, so that most lists of ends are cut short.
+        m_workers.back()->setMaxListedEnds(2);
     }
     m_log.push_back(encodeCommands({ ReplaceTable { samples::table(1) } }));
     elect(0);
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -31,6 +31,10 @@
     CPPUNIT_TEST(lateReportOfAnOldIncarnationIsIgnored);
     CPPUNIT_TEST(firstPollDecidesInheritedRuns);
     CPPUNIT_TEST(inheritedRunIsKeptUntilTheLeaseOfASilentWorkerExpires);
+    CPPUNIT_TEST(runMissingFromACutListIsKept);
+    CPPUNIT_TEST(cutListDecidesNoInheritedRuns);
+    CPPUNIT_TEST(runStoppedOnTheNextIncarnationIsKeptAfterACutList);
+    CPPUNIT_TEST(restOfACutListIsPolledWithoutWaiting);
     CPPUNIT_TEST(orphanRunIsStopped);
     CPPUNIT_TEST(incompleteGangIsStoppedInTime);
     CPPUNIT_TEST(rejectedMemberStopsTheGang);
@@ -117,6 +121,34 @@
             sentAt, m_now);
     }
 
+    // A response that holds back further ends.
+    void pollWithMoreEnds(const PollRequest& request, std::vector<ReportedEnd> ended)
+    {
+        m_runController.onPollResponse(request,
+            PollResponse { .clock = m_clock,
+                .startTimeMs = request.incarnation.startTimeMs,
+                .running = {},
+                .ended = std::move(ended),
+                .hasMoreEnds = true },
+            m_now, m_now);
+    }
+
+    // Commits the ends received so far.
+    std::vector<EndRuns::Entry> commitEnds()
+    {
+        auto ends = m_runController.drainEnds();
+        const auto received = m_runController.receivedEnds();
+        for (const auto& end : ends)
+            m_runController.onEndCommitted(end.run);
+        m_runController.onEndsCommitted(received);
+        return ends;
+    }
+
+    static ReportedEnd done(uint64_t number, const RunRef& run)
+    {
+        return { .number = number, .run = run, .outcome = RunOutcome::Done, .checkpoint = {} };
+    }
+
     int64_t usedMillicores(const char* worker = "w")
     {
         return m_workerTracker.find(samples::incarnation(worker))->used.millicores.count();
@@ -538,6 +570,99 @@
         CPPUNIT_ASSERT(m_runController.drainEnds().front().outcome == RunOutcome::Lost);
     }
 
+    // Guards against a second run of a task that is done: a worker lists a limited number of ends at a time, and runs
+    // whose ends came with a later list were taken to be lost.
+    void runMissingFromACutListIsKept()
+    {
+        begin(2);
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(m_run);
+        place(second);
+        const auto requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, requests.starts.size());
+        for (const auto& request : requests.starts)
+            respond(request, WorkerRequestStatus::Done);
+        m_now += 5ms;
+        pollWithMoreEnds(requests.polls.at(0), { done(1, m_run) });
+        auto ends = commitEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends[0].run == m_run);
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, polls[0].lastRecordedEnd);
+        poll(polls[0], m_now, {}, { done(2, second) });
+        ends = commitEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends[0].run == second && ends[0].outcome == RunOutcome::Done);
+    }
+
+    // Guards against the same after a change of the leader.
+    void cutListDecidesNoInheritedRuns()
+    {
+        begin(2);
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(m_run);
+        place(second);
+        m_workerTracker.clear();
+        m_runController.takeOverRuns(8, m_now);
+        report("w");
+        pollWithMoreEnds(advance().polls.at(0), { done(1, m_run) });
+        auto ends = commitEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        // Until the rest is known, the worker's free capacity is not known either.
+        const TrackedWorker& worker = *m_workerTracker.find(samples::incarnation("w"));
+        CPPUNIT_ASSERT(!m_workerTracker.isUsable(worker, m_now));
+        poll(advance().polls.at(0), m_now, {}, { done(2, second) });
+        ends = commitEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends[0].run == second && ends[0].outcome == RunOutcome::Done);
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(worker, m_now));
+    }
+
+    // Guards against the same for a start that the worker's next incarnation may have executed.
+    void runStoppedOnTheNextIncarnationIsKeptAfterACutList()
+    {
+        begin(2);
+        place(m_run);
+        respond(start(), WorkerRequestStatus::NoResponse);
+        report("w", 2);
+        const auto stops = advance().stops;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        m_runController.onStopResponse(
+            stops[0], { .status = WorkerRequestStatus::Outdated, .clock = m_clock, .startTimeMs = 2 }, m_now);
+        m_now += 1ms;
+        PollRequest request { .incarnation = samples::incarnation("w", 2), .fence = 7 };
+        pollWithMoreEnds(request, { done(1, samples::run(samples::secondId, 0, 0)) });
+        CPPUNIT_ASSERT(commitEnds().empty());
+        request.lastRecordedEnd = 1;
+        poll(request, m_now, {}, { done(2, m_run) });
+        const auto ends = commitEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends[0].outcome == RunOutcome::Done);
+    }
+
+    // Guards against ends that stay unknown for the length of a long poll.
+    void restOfACutListIsPolledWithoutWaiting()
+    {
+        begin(2);
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(m_run);
+        place(second);
+        const auto requests = advance();
+        for (const auto& request : requests.starts)
+            respond(request, WorkerRequestStatus::Done);
+        m_now += 5ms;
+        pollWithMoreEnds(requests.polls.at(0), { done(1, m_run) });
+        commitEnds();
+        auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(polls[0].maxWait == Duration(0));
+        poll(polls[0], m_now, { { .run = second, .checkpoint = {} } });
+        polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(polls[0].maxWait == m_settings.pollWait);
+    }
+
     // Guards against a run that continues although it is not recorded on this worker.
     void orphanRunIsStopped()
     {
--- a/tests/workflow/SimulatedWorker.cpp
+++ b/tests/workflow/SimulatedWorker.cpp
@@ -131,6 +131,8 @@
     PollResponse response {
         .clock = clock(now), .startTimeMs = m_profile.incarnation.startTimeMs, .running = {}, .ended = m_ended
     };
+    response.ended.resize(std::min(m_ended.size(), m_maxListedEnds));
+    response.hasMoreEnds = response.ended.size() == m_maxListedEnds;
     for (const auto& [task, run] : m_runs)
         response.running.push_back({ .run = run.run, .checkpoint = run.checkpoint });
     return response;
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -14,8 +14,8 @@
 namespace hickoryknot::workflow {
 
 /// A worker with only the guarantees that the platform gives: it keeps the highest fence that it has seen, kills all
-/// runs when its lease expires by its own clock, executes every start, and lists ends until they are confirmed. Time is
-/// passed in by the simulation.
+/// runs when its lease expires by its own clock, executes every start, and lists ends until they are confirmed, a
+/// limited number at a time. Time is passed in by the simulation.
 class SimulatedWorker {
 public:
     /// Size of a task, its run time and whether it fails; workers do not know steps.
@@ -46,6 +46,7 @@
 
     /// Changes the capacity that the next reports announce.
     void setCapacity(const Resources& capacity) { m_profile.capacity = capacity; }
+    void setMaxListedEnds(size_t count) { m_maxListedEnds = count; }
 
     RunResponse start(const StartRunRequest&, TimePoint now);
     RunResponse stop(const StopRunRequest&, TimePoint now);
@@ -84,6 +85,7 @@
     std::map<TaskRef, uint32_t> m_highestEnded;
     uint64_t m_lastEnd { 0 };
     uint64_t m_lastEndBeforeLeaseExpiry { 0 };
+    size_t m_maxListedEnds { 500 }; // As on the platform.
     std::vector<ReportedEnd> m_ended;
     std::vector<ReportedEnd> m_newEnds;
     std::vector<ReportedEnd> m_confirmed;
