Keep the rows of removed queues while workflows need them

Cause: for a queue that is not in the table the scheduler used a row made from the workflow's record, which holds the pool and the attempts only. It needed no permission by that row, so starts carried no token and were all rejected; its priority was the most urgent one.

Evidence: in the case's record the step is ordered again and again and each start is rejected for want of a token.

Change: the replicated state keeps the last row of a removed queue while workflows that have not ended, or runs that may occupy a worker, refer to it. The scheduler and the takeover of runs use it. A queue that a proposed table removes accepts nothing until that table is applied. Work of a removed queue counts as pending at the queue that has its host and prefix now.

Why this works: the rows are part of the state that all leaders share, and each acceptance is before the removal of its queue in the log.

Tests: WorkflowSchedulerTest (five new) and WorkflowStateTest (four new). The one on priorities was not run against the old row with priority 0.

--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -404,6 +404,8 @@
     const WorkflowId id(target->remainingPath);
     if (m_state.find(id))
         return respond(makeReply(ControlStatus::Done));
+    if (m_scheduler.isQueueBeingRemoved(target->queue->name))
+        return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
     if (auto checked = checkWorkflowSpec(call.spec); !checked)
         return respond(makeReply(ControlStatus::Invalid, checked.error().message));
     if (!m_pendingAcceptances.contains(id)) {
@@ -477,6 +479,7 @@
         return respond(makeReply(ControlStatus::Done));
     EventLog::write(EventLevel::Info, Event::TableChanged, "committing a new queue table",
         { { "version", std::to_string(call.table.version) }, { "queues", std::to_string(call.table.queues.size()) } });
+    m_scheduler.onTableProposed(call.table);
     enqueueCommand(ReplaceTable { .table = call.table }, respond, makeReply(ControlStatus::Done));
 }
 
--- a/src/workflow/Explanation.cpp
+++ b/src/workflow/Explanation.cpp
@@ -69,8 +69,10 @@
     }
     if (tracked != m_trackedWorkflows.end()) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - tracked->second.acceptedAt);
-        text += fmt::format(" It was accepted {} ms ago in queue {} with priority {}.", age.count(),
-            record->queue.value(), queue.priority);
+        text += fmt::format(" It was accepted {} ms ago in queue {} with priority {}{}.", age.count(),
+            record->queue.value(), queue.priority,
+            m_state.table().find(record->queue) ? ""
+                                                : "; the queue was removed since, and the workflow goes on as before");
     }
     return text;
 }
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -15,7 +15,7 @@
 struct ReadyStep {
     StepRef ref;
     const StepSpec* spec { nullptr }; // Points into the workflow's record; replaced whenever the workflow changes.
-    Queue queue; // Current row of the queue table, or a substitute if the queue was removed.
+    Queue queue; // Current row of the queue table, or its last one if the queue was removed.
     struct Task {
         uint32_t index { 0 };
         uint32_t nextRun { 1 };
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -71,7 +71,7 @@
 const Queue* RunController::findQueue(const RunRef& run) const
 {
     const WorkflowRecord* record = m_state.find(run.task.step.workflow);
-    return record ? m_state.table().find(record->queue) : nullptr;
+    return record ? m_state.findQueue(*record) : nullptr;
 }
 
 // The next incarnation's clock starts anew, so a late start there gets a full lease, whatever lease end it carries.
--- a/src/workflow/WorkflowRecord.h
+++ b/src/workflow/WorkflowRecord.h
@@ -81,7 +81,7 @@
 struct WorkflowRecord {
     WorkflowId id;
     QueueName queue;
-    PoolName pool; // Pool at acceptance, used after the queue is removed.
+    PoolName pool; // Pool at acceptance, used if the queue is no longer known.
     uint32_t maxAttempts { 1 };
     WorkflowSpec spec;
     WorkflowPhase phase { WorkflowPhase::Active };
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -75,6 +75,7 @@
     m_trackedWorkflows.clear();
     m_readySteps.clear();
     m_proposedWorkflows.clear();
+    m_proposedTable = {};
     m_pendingByQueue.clear();
     m_timedWorkflows.clear();
     m_nextOccurrenceMs.clear();
@@ -132,6 +133,20 @@
     }
 }
 
+void WorkflowScheduler::onTableProposed(const QueueTable& table)
+{
+    if (!m_isLeader || table.version <= m_proposedTable.version)
+        return;
+    m_proposedTable = { .version = table.version, .queues = {} };
+    for (const auto& queue : table.queues)
+        m_proposedTable.queues.insert(queue.name);
+}
+
+bool WorkflowScheduler::isQueueBeingRemoved(const QueueName& name) const
+{
+    return m_proposedTable.version > m_state.table().version && !m_proposedTable.queues.contains(name);
+}
+
 void WorkflowScheduler::onWorkerReport(const WorkerReport& report, TimePoint now)
 {
     if (!m_isLeader)
@@ -256,14 +271,16 @@
 
 Queue WorkflowScheduler::queueOf(const WorkflowRecord& record) const
 {
-    if (const Queue* queue = m_state.table().find(record.queue))
+    if (const Queue* queue = m_state.findQueue(record))
         return *queue;
-    // The queue was removed, but its accepted workflows still run.
-    Queue removed;
-    removed.name = record.queue;
-    removed.pool = record.pool;
-    removed.maxAttempts = record.maxAttempts;
-    return removed;
+    Queue unknown;
+    unknown.name = record.queue;
+    unknown.pool = record.pool;
+    unknown.maxAttempts = record.maxAttempts;
+    // Without its priority, the work must not delay that of other queues.
+    for (const auto& queue : m_state.table().queues)
+        unknown.priority = std::max(unknown.priority, queue.priority);
+    return unknown;
 }
 
 void WorkflowScheduler::removeReadySteps(TrackedWorkflow& tracked)
@@ -586,10 +603,23 @@
     return load;
 }
 
-size_t WorkflowScheduler::pendingWorkflows(const QueueName& queue) const
+size_t WorkflowScheduler::countPending(const QueueName& name) const
 {
-    const auto found = m_pendingByQueue.find(queue);
+    const auto found = m_pendingByQueue.find(name);
     return found == m_pendingByQueue.end() ? 0 : found->second;
 }
 
+size_t WorkflowScheduler::pendingWorkflows(const QueueName& name) const
+{
+    size_t count = countPending(name);
+    const Queue* queue = m_state.table().find(name);
+    if (!queue)
+        return count;
+    for (const auto& [removedName, removed] : m_state.removedQueues()) {
+        if (removed.callerHost == queue->callerHost && removed.urlPrefix == queue->urlPrefix)
+            count += countPending(removedName);
+    }
+    return count;
+}
+
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -62,11 +62,17 @@
     /// The acceptance of a workflow is about to be proposed; requests for its first steps may be prepared meanwhile.
     void onAcceptanceProposed(const AcceptWorkflow&, TimePoint now);
 
+    /// A table is about to be proposed. Until it is applied, the queues that it removes accept no more workflows: their
+    /// acceptances might be committed after the removal, when their queue is no longer known.
+    void onTableProposed(const QueueTable&);
+    bool isQueueBeingRemoved(const QueueName&) const;
+
     /// Returns a rejection if a workflow cannot meet its deadline; see AdmissionController.
     std::optional<AdmissionController::Rejection> checkAdmission(
         const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
 
-    /// Number of accepted workflows of a queue of which no worker is known to have executed a start.
+    /// Number of accepted workflows of a queue of which no worker is known to have executed a start. Includes those of
+    /// removed queues that had the same caller host and path prefix.
     size_t pendingWorkflows(const QueueName&) const;
 
     /// Describes for a person why the workflow is in its current state; empty if it is not known.
@@ -77,6 +83,10 @@
     size_t readyStepCount() const { return m_readySteps.size(); }
 
 private:
+    struct ProposedTable {
+        uint64_t version { 0 };
+        std::set<QueueName> queues;
+    };
     struct Batch {
         std::vector<RunRef> placed;
         std::vector<RunRef> ended;
@@ -111,6 +121,7 @@
     std::vector<ReadyStep::Task> readyTasks(const WorkflowRecord&, const OccurrenceRecord&, uint32_t step) const;
     void stopPlacedRuns(const WorkflowRecord&, TimePoint now);
     Queue queueOf(const WorkflowRecord&) const;
+    size_t countPending(const QueueName&) const;
     void beginDueOccurrences(std::vector<WorkflowCommand>&, WallTime wall);
     void recordWorkers(std::vector<WorkflowCommand>&);
     void recordStarts(std::vector<WorkflowCommand>&, TimePoint now);
@@ -136,6 +147,7 @@
     std::map<WorkflowId, TrackedWorkflow> m_trackedWorkflows;
     std::map<StepRef, ReadyStep> m_readySteps;
     std::map<WorkflowId, ProposedWorkflow> m_proposedWorkflows;
+    ProposedTable m_proposedTable; // The one with the highest version.
     std::map<QueueName, size_t> m_pendingByQueue;
     /// Timed workflows by wall-clock time of the next occurrence in milliseconds.
     std::set<std::pair<int64_t, WorkflowId>> m_timedWorkflows;
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -1,6 +1,7 @@
 #include "workflow/WorkflowState.h"
 
 #include <algorithm>
+#include <set>
 
 #include "core/Assert.h"
 #include "core/Hash.h"
@@ -12,7 +13,8 @@
 namespace {
 
 // Incremented when the snapshot layout changes; older formats from oldestSnapshotFormat on are still read.
-constexpr uint64_t snapshotFormat = crashCountsFormat;
+constexpr uint64_t removedQueuesFormat = 3;
+constexpr uint64_t snapshotFormat = removedQueuesFormat;
 constexpr uint64_t oldestSnapshotFormat = 1;
 
 /// Workers that may crash under one task before its workflow fails. The first crash may have any cause, and the second
@@ -38,7 +40,10 @@
 std::string WorkflowState::snapshot() const
 {
     FieldWriter writer;
-    writer(snapshotFormat, m_data.table, static_cast<uint64_t>(m_data.workflows.size()));
+    std::vector<Queue> removedQueues;
+    for (const auto& [name, queue] : m_data.removedQueues)
+        removedQueues.push_back(queue);
+    writer(snapshotFormat, m_data.table, removedQueues, static_cast<uint64_t>(m_data.workflows.size()));
     for (const auto& [id, record] : m_data.workflows)
         writer(record);
     writer(static_cast<uint64_t>(m_data.incarnations.size()));
@@ -60,7 +65,13 @@
     if (format < oldestSnapshotFormat || format > snapshotFormat)
         reader.fail();
     reader.setFormat(format);
-    reader(data.table, count);
+    std::vector<Queue> removedQueues;
+    reader(data.table);
+    if (format >= removedQueuesFormat)
+        reader(removedQueues);
+    for (auto& queue : removedQueues)
+        data.removedQueues.insert_or_assign(queue.name, queue);
+    reader(count);
     for (uint64_t i = 0; i < count && reader.isOk(); ++i) {
         WorkflowRecord record;
         reader(record);
@@ -104,6 +115,14 @@
     return found == m_data.workflows.end() ? nullptr : &found->second;
 }
 
+const Queue* WorkflowState::findQueue(const WorkflowRecord& record) const
+{
+    if (const Queue* queue = m_data.table.find(record.queue))
+        return queue;
+    const auto removed = m_data.removedQueues.find(record.queue);
+    return removed == m_data.removedQueues.end() ? nullptr : &removed->second;
+}
+
 std::vector<WorkflowState::PlacedRun> WorkflowState::placedRuns() const
 {
     std::vector<PlacedRun> runs;
@@ -129,11 +148,32 @@
 {
     if (command.table.version <= m_data.table.version)
         return;
+    keepQueuesInUse(command.table);
     m_data.table = command.table;
     if (m_listener)
         m_listener->onTableChanged();
 }
 
+// Accepted workflows finish by the rules of their queue also after its removal.
+void WorkflowState::keepQueuesInUse(const QueueTable& next)
+{
+    std::set<QueueName> inUse;
+    for (const auto& [id, record] : m_data.workflows) {
+        if (record.isActive() || record.placed)
+            inUse.insert(record.queue);
+    }
+    std::map<QueueName, Queue> kept;
+    for (const auto& name : inUse) {
+        if (next.find(name))
+            continue;
+        if (const Queue* queue = m_data.table.find(name))
+            kept.emplace(name, *queue);
+        else if (const auto removed = m_data.removedQueues.find(name); removed != m_data.removedQueues.end())
+            kept.insert(*removed);
+    }
+    m_data.removedQueues = std::move(kept);
+}
+
 void WorkflowState::applyCommand(const AcceptWorkflow& command)
 {
     const auto [known, isNew] = m_data.workflows.try_emplace(command.id);
--- a/src/workflow/WorkflowState.h
+++ b/src/workflow/WorkflowState.h
@@ -29,6 +29,11 @@
     void setListener(WorkflowListener* listener) { m_listener = listener; }
 
     const QueueTable& table() const { return m_data.table; }
+    /// Queues that were removed from the table while accepted workflows of theirs had not ended, with their last rows.
+    const std::map<QueueName, Queue>& removedQueues() const { return m_data.removedQueues; }
+    /// The queue of a workflow, in the table or removed from it. Null only if it was removed before a snapshot of a
+    /// format without removed queues.
+    const Queue* findQueue(const WorkflowRecord&) const;
     const WorkflowRecord* find(const WorkflowId&) const;
     const std::map<WorkflowId, WorkflowRecord>& workflows() const { return m_data.workflows; }
     /// Incarnation that placed runs refer to by index; entries without runs may be reused.
@@ -53,6 +58,7 @@
     };
     struct Data {
         QueueTable table;
+        std::map<QueueName, Queue> removedQueues;
         std::map<WorkflowId, WorkflowRecord> workflows;
         std::vector<IncarnationEntry> incarnations;
         std::map<WorkerId, WorkerProfile> workers;
@@ -69,6 +75,7 @@
     void applyCommand(const RemoveWorkers&);
     void applyCommand(const RecordStarts&);
 
+    void keepQueuesInUse(const QueueTable& next);
     static void beginOccurrences(WorkflowRecord&, uint32_t upTo);
     bool mayPlace(const WorkflowRecord&, const RunRef&) const;
     void endRun(const EndRuns::Entry&);
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -12,6 +12,11 @@
     CPPUNIT_TEST(workflowIsPendingUntilAWorkerHasExecutedAStart);
     CPPUNIT_TEST(startedWorkflowIsNotPendingAfterALeaderChange);
     CPPUNIT_TEST(permissionIsRequestedWhileTheAcceptanceIsCommitted);
+    CPPUNIT_TEST(workOfARemovedQueueStillAsksForPermission);
+    CPPUNIT_TEST(workOfARemovedQueueAsksForPermissionAfterALeaderChange);
+    CPPUNIT_TEST(workOfARemovedQueueKeepsItsPriority);
+    CPPUNIT_TEST(workOfAReplacedQueueStillCountsAsPending);
+    CPPUNIT_TEST(queueThatIsBeingRemovedAcceptsNothing);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr WallTime epoch { std::chrono::hours(24 * 365 * 50) };
@@ -41,6 +46,12 @@
     {
         apply({ ReplaceTable { table } });
         m_scheduler.becomeLeader(1, m_now, epoch);
+        reportWorker();
+    }
+
+    // Makes the worker usable.
+    void reportWorker()
+    {
         WorkerReport report;
         report.profile = samples::profile("w");
         report.sequence = 1;
@@ -113,6 +124,110 @@
         advance();
         CPPUNIT_ASSERT_EQUAL(std::string("t"), advance().starts.at(0).permissionToken);
     }
+
+    // The table in which another queue has the place of "q".
+    static QueueTable tableWithReplacedQueue(const QueueTable& table)
+    {
+        QueueTable result = table;
+        ++result.version;
+        result.queues[0].name = QueueName("q2");
+        return result;
+    }
+
+    static QueueTable tableWithPermission()
+    {
+        QueueTable table = samples::table();
+        table.queues[0].permission = { .isNeeded = true, .perCall = 10ms, .perWorker = 100us, .validity = 2s };
+        return table;
+    }
+
+    // Answers the only due permission request and expects that the start carries the token.
+    void checkStartWithToken()
+    {
+        auto output = m_scheduler.advance(m_now, epoch);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, output.permissionRequests.size());
+        m_scheduler.onPermissionResponse(output.permissionRequests.front(),
+            PermissionResponse { .granted = { { .worker = WorkerId("w"), .token = "t" } }, .validity = {} }, m_now);
+        apply(output.commands);
+        m_scheduler.onBatchCommitted(output.batch, m_now);
+        advance();
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), advance().starts.at(0).permissionToken);
+    }
+
+    // Guards against workflows that stand still once their queue is replaced under another name: their starts carried
+    // no token and were rejected, 260 times a second.
+    void workOfARemovedQueueStillAsksForPermission()
+    {
+        begin(tableWithPermission());
+        apply({ samples::accept(samples::firstId, { samples::step(1) }) });
+        apply({ ReplaceTable { tableWithReplacedQueue(tableWithPermission()) } });
+        checkStartWithToken();
+    }
+
+    // Guards against the same with a leader that has never had the queue in its table.
+    void workOfARemovedQueueAsksForPermissionAfterALeaderChange()
+    {
+        const QueueTable table = tableWithPermission();
+        apply({ ReplaceTable { table }, samples::accept(samples::firstId, { samples::step(1) }) });
+        apply({ ReplaceTable { tableWithReplacedQueue(table) } });
+        m_scheduler.becomeLeader(1, m_now, epoch);
+        reportWorker();
+        checkStartWithToken();
+    }
+
+    // Guards against work of a removed queue that comes before all other work.
+    void workOfARemovedQueueKeepsItsPriority()
+    {
+        QueueTable table = samples::table();
+        table.queues[0].priority = 1;
+        table.queues[1].priority = 0;
+        begin(table);
+        // Each needs the whole worker.
+        apply({ samples::accept(samples::firstId, { samples::step(1, 4000) }),
+            samples::accept(samples::secondId, { samples::step(1, 4000) }, "low") });
+        apply({ ReplaceTable { tableWithReplacedQueue(table) } });
+        advance();
+        const auto starts = advance().starts;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, starts.size());
+        CPPUNIT_ASSERT(starts[0].run.task.step.workflow == samples::secondId);
+    }
+
+    // Guards against a queue that says that nothing waits because the waiting work came before its row was replaced.
+    void workOfAReplacedQueueStillCountsAsPending()
+    {
+        begin(samples::table());
+        apply({ samples::accept(samples::firstId, { samples::step(1, 9000) }),
+            samples::accept(samples::secondId, { samples::step(1, 9000) }, "low") });
+        apply({ ReplaceTable { tableWithReplacedQueue(samples::table()) } });
+        advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_scheduler.pendingWorkflows(QueueName("q2")));
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_scheduler.pendingWorkflows(QueueName("low")));
+        const auto explanation = m_scheduler.explain(samples::firstId, m_now, epoch);
+        CPPUNIT_ASSERT_MESSAGE(explanation, explanation.find("the queue was removed since") != std::string::npos);
+    }
+
+    // Guards against a workflow that is accepted after the removal of its queue was committed, and whose queue is
+    // therefore unknown.
+    void queueThatIsBeingRemovedAcceptsNothing()
+    {
+        begin(samples::table());
+        const QueueTable next = tableWithReplacedQueue(samples::table());
+        CPPUNIT_ASSERT(!m_scheduler.isQueueBeingRemoved(m_queue));
+        m_scheduler.onTableProposed(next);
+        CPPUNIT_ASSERT(m_scheduler.isQueueBeingRemoved(m_queue));
+        CPPUNIT_ASSERT(!m_scheduler.isQueueBeingRemoved(QueueName("low")));
+        // An older table that arrives late changes nothing.
+        m_scheduler.onTableProposed(samples::table());
+        CPPUNIT_ASSERT(m_scheduler.isQueueBeingRemoved(m_queue));
+        // A newer one may keep the queue.
+        QueueTable last = samples::table(next.version + 1);
+        m_scheduler.onTableProposed(last);
+        CPPUNIT_ASSERT(!m_scheduler.isQueueBeingRemoved(m_queue));
+        // A later leader knows nothing of proposals that were not committed.
+        m_scheduler.onTableProposed(tableWithReplacedQueue(last));
+        m_scheduler.becomeLeader(2, m_now, epoch);
+        CPPUNIT_ASSERT(!m_scheduler.isQueueBeingRemoved(m_queue));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkflowSchedulerTest);
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -10,6 +10,10 @@
     CPPUNIT_TEST_SUITE(WorkflowStateTest);
     CPPUNIT_TEST(snapshotRestoresEverything);
     CPPUNIT_TEST(snapshotOfTheFirstFormatIsRead);
+    CPPUNIT_TEST(snapshotOfTheSecondFormatIsRead);
+    CPPUNIT_TEST(removedQueueIsKeptWhileWorkflowsNeedIt);
+    CPPUNIT_TEST(removedQueueThatComesBackIsInTheTableOnly);
+    CPPUNIT_TEST(removedQueueOutlivesASnapshot);
     CPPUNIT_TEST(corruptSnapshotChangesNothing);
     CPPUNIT_TEST(resubmittedWorkflowIsUnchanged);
     CPPUNIT_TEST(highestTableVersionWins);
@@ -92,6 +96,77 @@
         CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
     }
 
+    // Guards against the same: the second format has no removed queues.
+    void snapshotOfTheSecondFormatIsRead()
+    {
+        apply({ ReplaceTable { samples::table(3) }, samples::accept(samples::firstId, { samples::step(1) }) });
+        FieldWriter writer;
+        writer(uint64_t { 2 }, m_state.table(), uint64_t { 1 }, record(), uint64_t { 0 }, uint64_t { 0 });
+        WorkflowState other;
+        CPPUNIT_ASSERT(other.restore(writer.finish()));
+        CPPUNIT_ASSERT(*other.find(samples::firstId) == record());
+        CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
+    }
+
+    static const Queue& findQueue(const WorkflowState& state)
+    {
+        const Queue* queue = state.findQueue(*state.find(samples::firstId));
+        CPPUNIT_ASSERT(queue);
+        return *queue;
+    }
+
+    // The sample table without the queue "q".
+    static QueueTable tableWithoutQueue(uint64_t version)
+    {
+        QueueTable table = samples::table(version);
+        table.queues.erase(table.queues.begin());
+        return table;
+    }
+
+    // Guards against workflows whose starts are rejected for good, since all but the pool of their removed queue was
+    // forgotten.
+    void removedQueueIsKeptWhileWorkflowsNeedIt()
+    {
+        QueueTable table = samples::table(1);
+        table.queues[0].priority = 3;
+        table.queues[0].permission = { .isNeeded = true, .perCall = 10ms, .perWorker = 1ms, .validity = 2s };
+        apply({ ReplaceTable { table }, samples::accept(samples::firstId, { samples::step(1) }) });
+        apply({ ReplaceTable { tableWithoutQueue(2) } });
+        apply({ ReplaceTable { tableWithoutQueue(3) } });
+        CPPUNIT_ASSERT(!m_state.table().find(QueueName("q")));
+        CPPUNIT_ASSERT(findQueue(m_state) == table.queues[0]);
+        // A run that occupies a worker needs the queue also after its workflow was cancelled.
+        place({ samples::run(samples::firstId, 0, 0) });
+        apply({ CancelWorkflow { samples::firstId }, ReplaceTable { tableWithoutQueue(4) } });
+        findQueue(m_state);
+        end(samples::run(samples::firstId, 0, 0), RunOutcome::Stopped);
+        apply({ ReplaceTable { tableWithoutQueue(5) } });
+        CPPUNIT_ASSERT(m_state.removedQueues().empty());
+    }
+
+    // Guards against work that goes on by the old row of a queue that operators have added again.
+    void removedQueueThatComesBackIsInTheTableOnly()
+    {
+        apply({ ReplaceTable { samples::table(1) }, samples::accept(samples::firstId, { samples::step(1) }) });
+        apply({ ReplaceTable { tableWithoutQueue(2) } });
+        QueueTable table = samples::table(3);
+        table.queues[0].priority = 5;
+        apply({ ReplaceTable { table } });
+        CPPUNIT_ASSERT_EQUAL(uint32_t { 5 }, findQueue(m_state).priority);
+        CPPUNIT_ASSERT(m_state.removedQueues().empty());
+    }
+
+    // Guards against a queue that is forgotten when a host restores a snapshot.
+    void removedQueueOutlivesASnapshot()
+    {
+        apply({ ReplaceTable { samples::table(1) }, samples::accept(samples::firstId, { samples::step(1) }) });
+        apply({ ReplaceTable { tableWithoutQueue(2) } });
+        WorkflowState other;
+        CPPUNIT_ASSERT(other.restore(m_state.snapshot()));
+        CPPUNIT_ASSERT(findQueue(other) == samples::queue());
+        CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
+    }
+
     // Guards against a state that is partially replaced by a corrupt snapshot.
     void corruptSnapshotChangesNothing()
     {
