Do not refuse accepted jobs whose row was removed from the table

What callers would see: a job that was accepted is refused by the next leader of its zone, because operators removed its row meanwhile.

Cause: each leadership loads a new placement engine with the rows of the table, and the engine refuses jobs of other rows.

Change: the engine is given a copy of the row `default` under the name of each removed row that open jobs have.

--- a/src/scheduler/PlacementSync.cpp
+++ b/src/scheduler/PlacementSync.cpp
@@ -41,7 +41,7 @@
     m_table = &table;
     m_tableVersion = table.version();
     m_canPlaceStopRows = canPlaceStopRows;
-    m_placer->setTable(table.rows());
+    setRows(table);
     // Workers are added before jobs, so that running tasks find their workers. Workers without a heartbeat so far get
     // no new tasks.
     for (const auto& record : m_state.workers()) {
@@ -70,7 +70,7 @@
     if (m_tableVersion == table.version())
         return;
     m_tableVersion = table.version();
-    m_placer->setTable(table.rows());
+    setRows(table);
     // The cut-off rule of a row may have changed.
     if (m_canPlaceStopRows)
         return;
@@ -78,6 +78,23 @@
         sync(number, now);
 }
 
+// Accepted jobs of a removed row go on with the values of the row `default`; the engine would refuse them.
+void PlacementSync::setRows(const Table& table)
+{
+    m_removedRows.clear();
+    for (const auto number : m_state.openJobs()) {
+        const RowName& row = m_state.findJob(number)->spec.row;
+        if (!table.findClass(row))
+            m_removedRows.insert(row);
+    }
+    std::vector<Row> rows = table.rows();
+    for (const auto& name : m_removedRows) {
+        Row& row = rows.emplace_back(table.defaultRow());
+        row.name = name;
+    }
+    m_placer->setTable(rows);
+}
+
 void PlacementSync::updateWorker(const TrackedWorker& trackedWorker, TimePoint now)
 {
     const auto index = m_state.findWorker(trackedWorker.worker);
@@ -130,6 +147,9 @@
 
 PlacementSync::TrackedJob* PlacementSync::submitJob(const ZoneJob& job, TimePoint now)
 {
+    // Accepted by an earlier table.
+    if (!m_table->findClass(job.spec.row) && !m_removedRows.contains(job.spec.row))
+        setRows(*m_table);
     const auto handle = m_placer->submitJob({ .job = makeJobId(job.number, m_state.zone()),
                                                 .row = job.spec.row,
                                                 .team = job.spec.team,
--- a/src/scheduler/PlacementSync.h
+++ b/src/scheduler/PlacementSync.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -84,6 +85,7 @@
         Duration runTime { 0 };
     };
 
+    void setRows(const Table&);
     void upsertWorker(const WorkerRecord&, bool isLeaving, TimePoint now);
     TrackedJob* submitJob(const ZoneJob&, TimePoint now);
     void syncTask(TrackedJob&, const ZoneJob&, uint32_t task, TimePoint now);
@@ -101,6 +103,7 @@
     std::unique_ptr<Placer> m_placer;
     const Table* m_table { nullptr };
     uint64_t m_tableVersion { 0 };
+    std::set<RowName> m_removedRows; // Rows of open jobs that the engine knows but the table does not.
     bool m_canPlaceStopRows { true };
     std::map<JobNumber, TrackedJob> m_jobs;
     std::unordered_map<uint64_t, JobNumber> m_jobOfHandle;
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr const char* defaultRow = "default";
+constexpr const char* defaultRowName = "default";
 
 bool isBefore(const Row& row, const RowName& name) { return row.name < name; }
 
@@ -30,7 +30,7 @@
 Table::Table()
 {
     Row row;
-    row.name = RowName(defaultRow);
+    row.name = RowName(defaultRowName);
     m_content.rows.push_back(row);
     m_content.changedBy = "hickoryknot";
 }
@@ -41,6 +41,13 @@
     return row && row->kind == kind ? row : nullptr;
 }
 
+const Row& Table::defaultRow() const
+{
+    const Row* row = findClass(RowName(defaultRowName));
+    HICKORYKNOT_ASSERT(row, "the row cannot be removed");
+    return *row;
+}
+
 Expected<void> Table::check(const TableChange& change) const
 {
     if (change.rows.empty() && change.removed.empty())
@@ -62,7 +69,7 @@
     for (const auto& name : change.removed) {
         if (!named.insert(name).second)
             return invalidChange(fmt::format("row '{}' appears twice in the change", name.value()));
-        if (name.value() == defaultRow)
+        if (name.value() == defaultRowName)
             return invalidChange("row 'default' cannot be removed: work that names no other row uses it");
         if (!findByName(m_content.rows, name))
             return invalidChange(fmt::format("row '{}' is to be removed but does not exist", name.value()));
--- a/src/table/Table.h
+++ b/src/table/Table.h
@@ -50,6 +50,8 @@
     /// Null if there is no such row.
     const Row* find(RowKind, const RowName&) const;
     const Row* findClass(const RowName& name) const { return find(RowKind::Class, name); }
+    /// The class row `default`, which cannot be removed.
+    const Row& defaultRow() const;
 
     /// Applies the change if its base version is the current version; otherwise returns a conflict with the current
     /// version and its author.
--- a/tests/scheduler/ZoneSchedulerTest.cpp
+++ b/tests/scheduler/ZoneSchedulerTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "FirstFitPlacer.h"
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(leavingWorkerGetsNoNewTasks);
     CPPUNIT_TEST(cancelledTasksAreStopped);
     CPPUNIT_TEST(jobThatNoWorkerCanRunIsRefused);
+    CPPUNIT_TEST(jobOfARemovedRowIsNotRefused);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr UnixMs startMs = 1'800'000'000'000;
@@ -405,6 +407,50 @@
         // The only zone has returned the cell job as impossible to run, so the cell refuses it.
         CPPUNIT_ASSERT(m_cell.findJob(1)->outcome.kind == OutcomeKind::Refused);
     }
+
+    // Like the engine, refuses jobs of rows that it does not know.
+    class RowCheckingPlacer : public FirstFitPlacer {
+    public:
+        void setTable(const std::vector<Row>& rows) override { m_rows = rows; }
+        Expected<JobHandle> submitJob(const JobDescription& job, TimePoint now) override
+        {
+            if (std::none_of(m_rows.begin(), m_rows.end(), [&](const Row& row) { return row.name == job.row; }))
+                return makeError(ErrorCode::InvalidArgument, "the row is not in the table");
+            return FirstFitPlacer::submitJob(job, now);
+        }
+
+    private:
+        std::vector<Row> m_rows;
+    };
+
+    // Guards against an accepted job that the next zone leader refuses because its row was removed meanwhile.
+    void jobOfARemovedRowIsNotRefused()
+    {
+        Row night;
+        night.name = RowName("night");
+        m_cell.execute(SetTable { .change = { .baseVersion = 1, .request = RequestId("add"), .rows = { night } } });
+        JobSpec spec = makeSpec();
+        spec.row = night.name;
+        m_state.execute(SubmitZoneJob { .request = RequestId("r"), .spec = spec, .atMs = startMs });
+        m_cell.execute(
+            SetTable { .change = { .baseVersion = 2, .request = RequestId("remove"), .removed = { night.name } } });
+        CPPUNIT_ASSERT(!m_cell.table().findClass(night.name));
+        ZoneScheduler scheduler(
+            { .zone = ZoneId("z") }, m_state, m_cell, [] { return std::make_unique<RowCheckingPlacer>(); });
+        scheduler.becomeLeader(1, m_now);
+        const auto commit = [&] {
+            for (int round = 0; round < 6; ++round) {
+                for (const auto& proposal : scheduler.tick(m_now, WallTime(startMs * 1ms)).zone)
+                    scheduler.onProposalResult(proposal.token, m_state.apply(1, proposal.payload), m_now);
+            }
+        };
+        commit();
+        CPPUNIT_ASSERT(m_state.findJob({ .number = 1 })->isOpen());
+        // So is a job that was accepted by the earlier table and reaches this leader after the removal.
+        m_state.execute(SubmitZoneJob { .request = RequestId("s"), .spec = spec, .atMs = startMs });
+        commit();
+        CPPUNIT_ASSERT(m_state.findJob({ .number = 2 })->isOpen());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ZoneSchedulerTest);
