Use a disk again once it has room, without a restart

What callers would see: changes are refused or stay unanswered for good after the disks of the voters have been full for a moment each, although all processes run.

Cause: a store whose write has failed refuses all later writes until its process is restarted, because the system may have dropped the pages of the failed sync. Once two of three disks had failed, no majority could vote.

Change: GroupRunner tries every 500 ms to repair a failed store. The file is cut back to what was synced, the incarnation is raised, and all that the host knows is written anew, so nothing depends on pages of the failed write. When that is durable and the other members have confirmed the store as after a restart, the host votes and acknowledges again. What it shows does not go back meanwhile, as its state stays in memory.

--- a/src/app/GroupRunner.cpp
+++ b/src/app/GroupRunner.cpp
@@ -15,6 +15,14 @@
 /// Delay between attempts to confirm new leadership; about one round trip within the cell.
 constexpr Duration barrierRetryDelay = 5ms;
 
+Expected<std::unique_ptr<Disk>> openFileDisk(const std::string& folder)
+{
+    auto disk = FileDisk::open(folder);
+    if (!disk)
+        return tl::unexpected(disk.error());
+    return std::unique_ptr<Disk>(std::move(*disk));
+}
+
 } // namespace
 
 GroupRunner::GroupRunner(GroupRunnerSettings settings, Dependencies dependencies)
@@ -28,7 +36,7 @@
 {
     std::unique_ptr<RecordStore> store;
     if (!settings.folder.empty()) {
-        auto disk = FileDisk::open(settings.folder);
+        auto disk = (dependencies.openDisk ? dependencies.openDisk : openFileDisk)(settings.folder);
         if (!disk)
             return tl::unexpected(disk.error());
         const RecordStoreSettings storeSettings {
@@ -78,6 +86,32 @@
 void GroupRunner::tick(TimePoint now)
 {
     m_group->tick(now);
+    repairStore(now);
+    processReady(now);
+}
+
+void GroupRunner::repairStore(TimePoint now)
+{
+    if (!m_group->storageFailure() || m_isRepairing || now < m_nextRepair)
+        return;
+    m_isRepairing = true;
+    m_dependencies.storage.post([this] {
+        auto result = m_group->repairStore();
+        m_dependencies.postToControl([this, result = std::move(result)] { onRepairAttempted(result, steadyNow()); });
+    });
+}
+
+void GroupRunner::onRepairAttempted(const Expected<void>& result, TimePoint now)
+{
+    m_isRepairing = false;
+    m_nextRepair = now + m_settings.repairInterval;
+    // The failure itself was reported when it occurred.
+    if (!result)
+        return;
+    m_hasReportedFailure = false;
+    EventLog::write(
+        EventLevel::Info, Event::StorageRecovered, "the disk is usable again", { { "group", m_settings.name } });
+    m_group->onStoreRepaired(now);
     processReady(now);
 }
 
--- a/src/app/GroupRunner.h
+++ b/src/app/GroupRunner.h
@@ -11,6 +11,7 @@
 
 namespace hickoryknot {
 
+class Disk;
 class WorkQueueThread;
 
 struct GroupRunnerSettings {
@@ -21,6 +22,8 @@
     std::string cell;
     /// Empty on a host without a disk.
     std::string folder;
+    /// Time between attempts to use a failed disk again.
+    Duration repairInterval { 500ms };
 };
 
 /// Runs one replicated log on the control thread: passes its messages to the network and its writes to the storage
@@ -40,6 +43,8 @@
         PostToControl postToControl;
         LeadershipChanged leadershipChanged;
         WorkQueueThread& storage;
+        /// Opens the data folder; by default as a FileDisk.
+        std::function<Expected<std::unique_ptr<Disk>>(const std::string& folder)> openDisk {};
     };
 
     /// Errors: see RecordStore::open() and LogGroup::open().
@@ -76,6 +81,8 @@
     void processReady(TimePoint now);
     void reportMemberChange(std::string what, const Expected<void>&);
     void updateLeadership(TimePoint now);
+    void repairStore(TimePoint now);
+    void onRepairAttempted(const Expected<void>&, TimePoint now);
     void endLeadership(TimePoint now);
     void onBarrierResult(uint64_t term, bool isReadable, TimePoint now);
     void logRecovery();
@@ -91,6 +98,8 @@
     TimePoint m_nextBarrier { TimePoint::min() };
     bool m_isBarrierPending { false };
     bool m_hasReportedFailure { false };
+    bool m_isRepairing { false };
+    TimePoint m_nextRepair { TimePoint::min() };
     bool m_isProcessing { false };
 };
 
--- a/src/consensus/LogGroup.cpp
+++ b/src/consensus/LogGroup.cpp
@@ -167,7 +167,9 @@
         m_storageFailure = result.error;
         m_log.onStorageFailed(now);
     } else {
-        if (result.identity.store != m_log.identity().store) {
+        const bool isRenewed
+            = m_log.identity().store != StoreId::None && result.identity.store != m_log.identity().store;
+        if (isRenewed) {
             m_wasIdentityOutdated = true;
             m_log.onIdentityRenewed(result.identity);
         }
@@ -176,6 +178,19 @@
     advance(now);
 }
 
+Expected<void> LogGroup::repairStore()
+{
+    HICKORYKNOT_ASSERT(m_store, "only a group with a store can have a failed one");
+    return m_store->repair();
+}
+
+void LogGroup::onStoreRepaired(TimePoint now)
+{
+    m_storageFailure.reset();
+    m_log.onStorageRepaired(m_store->identity());
+    advance(now);
+}
+
 void LogGroup::addMember(const HostId& host, bool isVoter, TimePoint now, Completion completion)
 {
     trackMembershipChange(m_log.addMember(host, isVoter, now), host, isVoter, std::move(completion));
--- a/src/consensus/LogGroup.h
+++ b/src/consensus/LogGroup.h
@@ -64,6 +64,13 @@
     /// acknowledges and continues as an in-memory learner.
     void onWriteCompleted(const WriteResult&, TimePoint now);
 
+    /// Makes the failed store usable again; see RecordStore::repair(). Accesses only the store, like performWrite().
+    Expected<void> repairStore();
+
+    /// Continues with the repaired store on the control thread: this host writes all that it knows, and votes again
+    /// once the other members have confirmed the store.
+    void onStoreRepaired(TimePoint now);
+
     bool isLeader() const { return m_log.isLeader(); }
 
     /// True if this host leads and no other host can have been elected by `now`, given clock drift within
@@ -104,7 +111,7 @@
     /// Store id, incarnation and session of this host.
     const StoreIdentity& identity() const { return m_log.identity(); }
 
-    /// The storage error after which this host stopped voting and acknowledging, if any.
+    /// The storage error after which this host stopped voting and acknowledging, until onStoreRepaired().
     const std::optional<Error>& storageFailure() const { return m_storageFailure; }
 
     /// Bytes of an incomplete batch that open() truncated from the end of the log.
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -60,16 +60,11 @@
     recovered = {};
     if (m_settings.identity.store == StoreId::None)
         return;
-    // The store may be an older copy, so the other members have to confirm that it is up to date.
-    m_identityState = IdentityState::Unconfirmed;
-    m_identityCheck = { .storedTerm = m_term, .storedIndex = m_log.lastIndex() };
-    m_identityGraceEnd = now + m_settings.timings.identityCheckTimeout;
-    m_nextIdentityCheckAt = now;
     if (isRestarted) {
         m_recoveredTerm = m_term;
         m_voteRefusalEnd = now + m_settings.timings.electionMin;
     }
-    evaluateIdentity(now);
+    beginIdentityCheck({ .storedTerm = m_term, .storedIndex = m_log.lastIndex() }, now);
 }
 
 void ReplicatedLog::step(const LogMessage& message, TimePoint now)
@@ -174,6 +169,8 @@
         = false;
     m_unwrittenFrom = m_log.lastIndex() + 1;
     m_writesInFlight.emplace_back(batch.sequence, m_log.lastIndex());
+    if (m_repairedStore && m_repairedStore->sequence == batch.sequence)
+        m_repairedStore->content = { .storedTerm = m_term, .storedIndex = m_log.lastIndex() };
     return batch;
 }
 
@@ -185,6 +182,8 @@
         m_writesInFlight.pop_front();
     }
     m_persistedSequence = std::max(m_persistedSequence, sequence);
+    if (m_repairedStore && m_persistedSequence >= m_repairedStore->sequence)
+        finishStorageRepair(now);
     countOwnVote(now);
     if (m_role == Role::Leader && mayAcknowledge())
         recordEvidence(m_settings.self, m_settings.identity, m_term, m_persistedIndex);
@@ -195,6 +194,7 @@
 {
     // Without a store id, later messages of this host do not count as those of a voter.
     m_settings.identity.store = StoreId::None;
+    m_repairedStore.reset();
     becomeFollower(m_term, m_role == Role::Leader ? HostId() : m_leader, now);
     std::erase_if(m_outbox, [&](const PendingMessage& pending) { return pending.sequence > m_persistedSequence; });
     // Later messages acknowledge nothing durable, so they must not wait for the failed write.
@@ -203,6 +203,18 @@
     m_isIdentityRenewalPending = false;
 }
 
+void ReplicatedLog::onStorageRepaired(const StoreIdentity& identity)
+{
+    HICKORYKNOT_ASSERT(m_writesInFlight.empty() && m_settings.identity.store == StoreId::None, "the store has failed");
+    const auto& snapshot = m_log.snapshot();
+    m_isHardStateChanged = true;
+    m_hardStateSequence = m_lastBatchSequence + 1;
+    m_isSnapshotUnwritten = m_isLogReset = snapshot.has_value();
+    m_unwrittenFrom = (snapshot ? snapshot->index : m_log.baseIndex()) + 1;
+    m_persistedIndex = m_unwrittenFrom - 1;
+    m_repairedStore = { .identity = identity, .sequence = m_lastBatchSequence + 1, .content = {} };
+}
+
 std::vector<OutgoingMessage> ReplicatedLog::drainMessages()
 {
     replicateToPeers();
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -76,6 +76,10 @@
     /// The store has failed: this host no longer votes or acknowledges and continues as an in-memory learner.
     void onStorageFailed(TimePoint now);
 
+    /// The failed store can be written again: the next batch contains all that this host knows. Once it is durable and
+    /// other members have confirmed that the store is up to date, this host votes and acknowledges again.
+    void onStorageRepaired(const StoreIdentity&);
+
     /// Removes and returns the messages whose preceding writes are durable.
     std::vector<OutgoingMessage> drainMessages();
 
@@ -136,7 +140,16 @@
         std::string data;
     };
 
+    /// A repaired store that does not hold the log again yet.
+    struct RepairedStore {
+        StoreIdentity identity;
+        uint64_t sequence { 0 }; // The batch that writes the whole log.
+        IdentityCheck content; // What the store holds once that batch is durable.
+    };
+
     // Startup and identities (ReplicatedLogIdentity.cpp).
+    void beginIdentityCheck(const IdentityCheck&, TimePoint now);
+    void finishStorageRepair(TimePoint now);
     void sendIdentityChecks(TimePoint now);
     void evaluateIdentity(TimePoint now);
     void handle(const IdentityCheck&, const LogMessage&, TimePoint now);
@@ -256,6 +269,7 @@
     TimePoint m_identityGraceEnd;
     TimePoint m_nextIdentityCheckAt;
     std::set<HostId> m_identityResponders;
+    std::optional<RepairedStore> m_repairedStore;
     std::optional<Term> m_recoveredTerm; // The term found on disk, in which no new vote is granted.
 
     // Candidate and leader.
--- a/src/consensus/ReplicatedLogIdentity.cpp
+++ b/src/consensus/ReplicatedLogIdentity.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "consensus/ReplicatedLog.h"
 
 namespace hickoryknot {
@@ -28,6 +30,27 @@
     return mayVote();
 }
 
+// The store may be an older copy, so the other members have to confirm that it is up to date.
+void ReplicatedLog::beginIdentityCheck(const IdentityCheck& check, TimePoint now)
+{
+    m_identityState = IdentityState::Unconfirmed;
+    m_identityCheck = check;
+    m_identityGraceEnd = now + m_settings.timings.identityCheckTimeout;
+    m_nextIdentityCheckAt = now;
+    m_identityResponders.clear();
+    evaluateIdentity(now);
+}
+
+// The operator may have put another disk in place of the failed one, so the store is checked as after a restart.
+void ReplicatedLog::finishStorageRepair(TimePoint now)
+{
+    const RepairedStore repaired = *std::exchange(m_repairedStore, std::nullopt);
+    m_settings.identity = repaired.identity;
+    m_recoveredTerm = m_term;
+    m_voteRefusalEnd = now + m_settings.timings.electionMin;
+    beginIdentityCheck(repaired.content, now);
+}
+
 void ReplicatedLog::sendIdentityChecks(TimePoint now)
 {
     m_nextIdentityCheckAt = now + m_settings.timings.heartbeat;
--- a/src/log/RecordStore.cpp
+++ b/src/log/RecordStore.cpp
@@ -273,14 +273,46 @@
     if (!applied) {
         m_failure = Error { ErrorCode::Storage,
             applied.error().message
-                + ". This host no longer votes or acknowledges writes. Free space or replace the disk, then restart "
-                  "the host; see "
+                + ". This host neither votes nor acknowledges writes until the disk works again; see "
                   "docs/storage.md" };
         return tl::unexpected(*m_failure);
     }
     return applied;
 }
 
+Expected<void> RecordStore::repair()
+{
+    HICKORYKNOT_ASSERT(m_failure, "only a failed store is repaired");
+    return removeUnsynced()
+        .and_then([&] {
+            StoreIdentity next = m_identity;
+            ++next.incarnation;
+            return writeIdentity(next);
+        })
+        .map([&] { m_failure.reset(); });
+}
+
+// Pages of a failed write may be lost in spite of a later sync, so the file is cut back to what was synced.
+Expected<void> RecordStore::removeUnsynced()
+{
+    const auto names = m_disk->list();
+    if (!names)
+        return tl::unexpected(names.error());
+    // A removal during compaction may have succeeded without the sync of the folder.
+    std::erase_if(m_segments, [&](const Segment& segment) {
+        return std::find(names->begin(), names->end(), segmentName(segment.number)) == names->end();
+    });
+    if (m_segments.empty())
+        return m_disk->syncFolder();
+    const Segment last = m_segments.back();
+    const std::string name = segmentName(last.number);
+    if (last.bytes)
+        return m_disk->truncate(name, last.bytes).and_then([&] { return m_disk->sync(name); }).and_then([&] {
+            return m_disk->syncFolder();
+        });
+    return m_disk->remove(name).and_then([&] { return m_disk->syncFolder(); }).map([&] { m_segments.pop_back(); });
+}
+
 Expected<void> RecordStore::apply(const WriteBatch& batch)
 {
     HICKORYKNOT_ASSERT(!batch.isLogReset || batch.snapshot, "only a snapshot can replace the log");
--- a/src/log/RecordStore.h
+++ b/src/log/RecordStore.h
@@ -31,16 +31,20 @@
     RecoveredLog releaseRecovered();
 
     /// Makes a batch durable with one sync. Storage: a write or sync failed or the disk is full; every later call fails
-    /// with the same error, since the operating system may have dropped the failed pages.
+    /// with the same error until repair() succeeds, since the operating system may have dropped the failed pages.
     Expected<void> writeAndSync(const WriteBatch&);
 
     /// As writeAndSync(), with the outcome as a value that can be passed between threads.
     WriteResult write(const WriteBatch&);
 
+    /// After a failure: removes what the failed write has left on the disk and begins a new incarnation. The next batch
+    /// must contain all that is not durable. Storage: the disk still fails; may be called again.
+    Expected<void> repair();
+
     /// Index of the last durable entry or of the snapshot; 0 for none.
     LogIndex lastIndex() const { return m_lastIndex; }
 
-    /// Set once a write has failed: all later writes fail.
+    /// Set while all writes fail.
     const std::optional<Error>& failure() const { return m_failure; }
 
 private:
@@ -61,6 +65,7 @@
     Expected<void> apply(const WriteBatch&);
     Expected<void> appendRecords(const WriteBatch&);
     Expected<void> compact();
+    Expected<void> removeUnsynced();
 
     // Settings.
     std::unique_ptr<Disk> m_disk;
--- a/tests/consensus/LogCluster.cpp
+++ b/tests/consensus/LogCluster.cpp
@@ -167,6 +167,11 @@
         return;
     const TimePoint now = hostNow(name);
     state.group->tick(now);
+    if (state.group->storageFailure() && !state.files->isFull && !state.files->isSyncFailing) {
+        if (auto repaired = state.group->repairStore(); !repaired)
+            return recordViolation("cannot repair the store of " + name.value() + ": " + repaired.error().message);
+        state.group->onStoreRepaired(now);
+    }
     if (state.write && m_clock.now() >= state.writeDue) {
         const WriteBatch batch = *std::exchange(state.write, std::nullopt);
         state.group->onWriteCompleted(state.group->performWrite(batch), now);
--- a/tests/consensus/RandomSchedule.cpp
+++ b/tests/consensus/RandomSchedule.cpp
@@ -42,7 +42,7 @@
         unsigned weight;
         Action action;
     };
-    constexpr std::array<Choice, 9> choices { {
+    constexpr std::array<Choice, 10> choices { {
         { 50, &RandomSchedule::propose },
         { 20, &RandomSchedule::crashOrStart },
         { 14, &RandomSchedule::changeNetwork },
@@ -50,10 +50,11 @@
         { 4, &RandomSchedule::transfer },
         { 4, &RandomSchedule::changeMembers },
         { 2, &RandomSchedule::failDisk },
+        { 4, &RandomSchedule::repairDisk },
         { 2, &RandomSchedule::loseDisk },
         { 3, &RandomSchedule::restoreOldDisk },
     } };
-    unsigned pick = m_random(104);
+    unsigned pick = m_random(108);
     for (const auto& [weight, action] : choices) {
         if (pick < weight)
             return (this->*action)();
@@ -165,6 +166,8 @@
     (m_random(2) ? m_cluster->files(*host).isFull : m_cluster->files(*host).isSyncFailing) = true;
 }
 
+void RandomSchedule::repairDisk() { m_cluster->repairDisk(m_cluster->host(m_random(m_voters))); }
+
 // Requires that the store ids of all voters are recorded: before that an erased disk looks like a first start.
 void RandomSchedule::loseDisk()
 {
--- a/tests/consensus/RandomSchedule.h
+++ b/tests/consensus/RandomSchedule.h
@@ -29,6 +29,7 @@
     void transfer();
     void changeMembers();
     void failDisk();
+    void repairDisk();
     void loseDisk();
     void restoreOldDisk();
     void repairAllFaults();
--- a/tests/consensus/ScenarioRunner.cpp
+++ b/tests/consensus/ScenarioRunner.cpp
@@ -55,6 +55,7 @@
         { "olddisk", [&](const HostId& host) { m_cluster->restoreCopy(host); } },
         { "failsync", [&](const HostId& host) { m_cluster->files(host).isSyncFailing = true; } },
         { "fulldisk", [&](const HostId& host) { m_cluster->files(host).isFull = true; } },
+        { "repairdisk", [&](const HostId& host) { m_cluster->repairDisk(host); } },
         { "pause", [&](const HostId& host) { m_cluster->setPaused(host, true); } },
         { "resume", [&](const HostId& host) { m_cluster->setPaused(host, false); } },
         { "isolate",
