Reject input that cannot be handled behind its decoder

What callers would see: processes that end, or leaders that change again and again, because of one odd message. Reported by operators of another system as an odd entry among those of the workers.

Cause: the library's CBOR parser recurses for each level of nesting, and only log messages were checked for it. 2 MB of nested arrays ended the process in decodeCommands, decodeControlCall and decodeMembership (segmentation fault, exit code 139). A worker's report with port 99999, or with names of a megabyte, passed its decoder and was recorded; a batch beyond 4 MiB cannot be committed, so the leader gives up its leadership. Durations had no range and overflowed.

Change: parseCborArrays() builds what other hosts send up to a depth, in one pass instead of two. A report must have an address that can be called and short texts, a table must fit into the log, durations have a range of 0 to 2^31 - 1 ms.

--- a/src/consensus/LogMessage.cpp
+++ b/src/consensus/LogMessage.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "core/CborArrays.h"
+
 namespace hickoryknot {
 
 namespace {
@@ -189,26 +191,8 @@
     decodeSnapshotChunk, decodeSnapshotResponse, decodeTimeoutNow, decodeIdentityCheck, decodeIdentityVerdict };
 static_assert(bodyDecoders.size() == std::variant_size_v<LogMessageBody>);
 
-// Rejects nesting deeper than any message has, because the CBOR parser of the library recurses for each level.
-class NestingLimit final : public json::json_sax_t {
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t&) override { return true; }
-    bool string(string_t&) override { return true; }
-    bool binary(binary_t&) override { return true; }
-    bool start_object(size_t) override { return false; }
-    bool key(string_t&) override { return false; }
-    bool end_object() override { return false; }
-    bool start_array(size_t) override { return ++m_depth <= 8; }
-    bool end_array() override { return m_depth--; }
-    bool parse_error(size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
-
-private:
-    size_t m_depth { 0 };
-};
+/// Levels of arrays that a message may have; more than any kind uses.
+constexpr size_t maxDepth = 8;
 
 } // namespace
 
@@ -224,11 +208,11 @@
 
 Expected<LogMessage> decodeLogMessage(std::string_view bytes)
 {
-    NestingLimit limit;
-    if (!json::sax_parse(bytes, &limit, json::input_format_t::cbor))
-        return makeError(ErrorCode::InvalidArgument, "the log message is not well-formed CBOR of arrays");
+    const auto document = parseCborArrays(bytes, maxDepth);
+    if (!document)
+        return makeError(ErrorCode::InvalidArgument, "the log message is " + document.error().message);
     try {
-        const json value = json::from_cbor(bytes);
+        const json& value = *document;
         const auto kind = value.at(5).get<size_t>();
         if (kind >= bodyDecoders.size())
             return makeError(ErrorCode::InvalidArgument, "the log message has an unknown kind");
--- a/src/consensus/Membership.cpp
+++ b/src/consensus/Membership.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "core/CborArrays.h"
+
 namespace hickoryknot {
 
 Membership::Membership(std::vector<Member> members)
@@ -68,9 +70,11 @@
 Expected<Membership> decodeMembership(std::string_view bytes)
 {
     try {
-        const auto json = nlohmann::json::from_cbor(bytes);
+        const auto members = parseCborArrays(bytes, 2);
+        if (!members)
+            return makeError(ErrorCode::Corrupt, "the member list is " + members.error().message);
         Membership membership;
-        for (const auto& member : json)
+        for (const auto& member : *members)
             membership.set({ .host = HostId(member.at(0).get<std::string>()),
                 .store = static_cast<StoreId>(member.at(1).get<uint64_t>()),
                 .isVoter = member.at(2).get<bool>(),
--- a/src/state/FieldReader.cpp
+++ b/src/state/FieldReader.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/CborArrays.h"
+
 namespace hickoryknot {
 
 struct FieldReader::Impl {
@@ -12,12 +14,8 @@
 FieldReader::FieldReader(std::string_view bytes)
     : m_impl(std::make_unique<Impl>())
 {
-    // from_cbor() throws for an excessive size even with exceptions disabled.
-    try {
-        m_impl->fields = nlohmann::json::from_cbor(bytes, true, false);
-    } catch (const nlohmann::json::exception&) {
-        m_impl->fields = {};
-    }
+    if (auto fields = parseCborArrays(bytes, 1))
+        m_impl->fields = std::move(*fields);
     m_isOk = m_impl->fields.is_array();
 }
 
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A log entry has at most 4 MiB and holds the document and its rows.
+constexpr size_t maxDocumentBytes = size_t { 3 } * 512 * 1024;
+
 tl::unexpected<Error> invalid(std::string message) { return makeError(ErrorCode::InvalidArgument, std::move(message)); }
 
 } // namespace
@@ -39,6 +42,9 @@
 
 Expected<void> checkQueueTable(const QueueTable& table)
 {
+    if (table.document.size() > maxDocumentBytes)
+        return makeError(ErrorCode::TooLarge,
+            fmt::format("the table has {} bytes; at most {} are allowed", table.document.size(), maxDocumentBytes));
     std::set<PoolName> pools;
     for (const auto& pool : table.pools) {
         if (!pools.insert(pool.name).second)
--- a/src/workflow/QueueTable.h
+++ b/src/workflow/QueueTable.h
@@ -33,8 +33,8 @@
     friend bool operator==(const QueueTable&, const QueueTable&) = default;
 };
 
-/// InvalidArgument: a queue refers to an unknown pool, two queues share host and prefix, a name is duplicated, a call
-/// timeout is zero, or a prefix does not begin with a slash.
+/// TooLarge: the document does not fit into the log. InvalidArgument: a queue refers to an unknown pool, two queues
+/// share host and prefix, a name is duplicated, a call timeout is zero, or a prefix does not begin with a slash.
 Expected<void> checkQueueTable(const QueueTable&);
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowSpec.cpp
+++ b/src/workflow/WorkflowSpec.cpp
@@ -33,8 +33,9 @@
         if (earlier >= index)
             return invalid(fmt::format("step {} depends on step {}, which is not an earlier one", index, earlier));
     }
-    if (step.requiredLabel.size() > maxLabelBytes || step.image.size() > maxLabelBytes)
-        return invalid(fmt::format("step {} has a label or image of more than {} bytes", index, maxLabelBytes));
+    if (step.requiredLabel.size() > maxLabelBytes || step.image.size() > maxLabelBytes
+        || step.dataRack.value().size() > maxLabelBytes)
+        return invalid(fmt::format("step {} has a label, image or rack of more than {} bytes", index, maxLabelBytes));
     if (step.estimatedRunTime < Duration::zero() || step.estimatedRunTime > protocol_limits::maxRunTime)
         return invalid(fmt::format("step {} has an estimate out of range", index));
     return {};
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -8,6 +8,7 @@
 #include "WorkerCodec.h"
 #include "control/ControlCall.h"
 #include "control/PermissionCall.h"
+#include "workflow/WorkflowCommand.h"
 
 namespace hickoryknot::platform {
 
@@ -46,6 +47,9 @@
     CPPUNIT_TEST(invalidTablesAreRejected);
     CPPUNIT_TEST(reportIsDecoded);
     CPPUNIT_TEST(invalidReportsAreRejected);
+    CPPUNIT_TEST(oddReportsNameNoWorker);
+    CPPUNIT_TEST(deeplyNestedInputIsRejected);
+    CPPUNIT_TEST(durationsOutOfRangeAreRejected);
     CPPUNIT_TEST(settingsAreDecoded);
     CPPUNIT_TEST(taskNamesRoundTrip);
     CPPUNIT_TEST(pollResponseIsDecoded);
@@ -171,6 +175,61 @@
             CPPUNIT_ASSERT_MESSAGE(invalid, !decodeSettings(invalid));
     }
 
+    // Guards against reports of another writer that are recorded and then cannot be used, or do not fit into the log.
+    void oddReportsNameNoWorker()
+    {
+        const auto decode = [](const char* field, const json& value) {
+            auto document = json::parse(report);
+            document[field] = value;
+            return decodeWorkerReport(WorkerId("w"), document.dump());
+        };
+        CPPUNIT_ASSERT(decode("address", "[::1]:80"));
+        for (const char* address : { "10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:80x",
+                 "10.0.0.1", "example:80", ":80", "" })
+            CPPUNIT_ASSERT_MESSAGE(address, !decode("address", address));
+        for (const char* number : { "1e400", "1e300", "18446744073709551616", "-1", "0.5" }) {
+            std::string body = report;
+            body.replace(body.find("16000"), 5, number);
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeWorkerReport(WorkerId("w"), body));
+        }
+        for (const char* field : { "service", "zone", "address" })
+            CPPUNIT_ASSERT_MESSAGE(field, !decode(field, std::string(1 << 20, 'x')));
+        CPPUNIT_ASSERT(!decode("labels", json::array({ "a", std::string(1 << 20, 'x') })));
+        CPPUNIT_ASSERT(!decode("labels", std::vector<std::string>(100'000, "a")));
+    }
+
+    // Guards against a process that one message ends.
+    void deeplyNestedInputIsRejected()
+    {
+        for (const char* opening : { "[", "{\"a\":", "[{\"a\":" }) {
+            std::string body = R"({"capacity":)";
+            while (body.size() < size_t { 4 } << 20)
+                body += opening;
+            CPPUNIT_ASSERT(!decodeWorkerReport(WorkerId("w"), body));
+            CPPUNIT_ASSERT(!decodeTable(body));
+            CPPUNIT_ASSERT(!decodeSubmission(body));
+            CPPUNIT_ASSERT(!decodePollResponse(httpResponse(200, body)));
+        }
+        const std::string nested(size_t { 4 } << 20, '\x81');
+        CPPUNIT_ASSERT(!decodeControlCall(nested));
+        CPPUNIT_ASSERT(!decodeCommands(nested));
+    }
+
+    // Guards against times that overflow when they are added to the present one.
+    void durationsOutOfRangeAreRejected()
+    {
+        for (const char* number : { "1e300", "-1", "1e12" }) {
+            std::string body = table;
+            body.replace(body.find("410.0"), 5, number);
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeTable(body));
+            const std::string grants = R"({"granted":[],"validMs":)" + std::string(number) + "}";
+            CPPUNIT_ASSERT_MESSAGE(number, !decodePermissionServiceResponse(httpResponse(200, grants)));
+            const std::string job
+                = R"({"spec":"","steps":[{"count":1,"longRunning":true,"targetMs":)" + std::string(number) + "}]}";
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeSubmission(job));
+        }
+    }
+
     void taskNamesRoundTrip()
     {
         // Guards against confusing runs of different tasks.
