Reject worker reports of pools that are not in use

Cause: reports were taken whatever their pool. One with a later start under the id of a worker superseded that worker, so its runs counted as lost, and the foreign profile was recorded in its place.

Change: a report counts only if its pool is in the queue table, belongs to accepted work of a removed queue, or is the pool in which that worker is recorded. Others are rejected with 400 and change nothing; before the first table, reports get 503.

--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -495,7 +495,13 @@
 
 void WorkflowHost::handle(const WorkerReportCall& call, const Respond& respond)
 {
-    m_scheduler.onWorkerReport(call.report, steadyNow());
+    if (auto applied = m_scheduler.onWorkerReport(call.report, steadyNow()); !applied) {
+        EventLog::write(EventLevel::Warning, Event::RequestRejected, applied.error().message,
+            { { "worker", call.report.profile.incarnation.worker.value() } });
+        const bool isInvalid = applied.error().code == ErrorCode::InvalidArgument;
+        return respond(
+            makeReply(isInvalid ? ControlStatus::Invalid : ControlStatus::NotReady, applied.error().message));
+    }
     // The report is acknowledged only once it is committed, so that later leaders know it too.
     if (m_scheduler.isRecorded(call.report))
         return respond(makeReply(ControlStatus::Done));
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -147,13 +147,28 @@
     return m_proposedTable.version > m_state.table().version && !m_proposedTable.queues.contains(name);
 }
 
-void WorkflowScheduler::onWorkerReport(const WorkerReport& report, TimePoint now)
+// Also a pool that was removed from the table: its workers run what was accepted before, and are shut down later.
+bool WorkflowScheduler::isPoolInUse(const WorkerProfile& profile) const
+{
+    const auto& removed = m_state.removedQueues();
+    const auto recorded = m_state.workers().find(profile.incarnation.worker);
+    return m_state.table().findPool(profile.pool) || std::any_of(removed.begin(), removed.end(), [&](const auto& item) {
+        return item.second.pool == profile.pool;
+    }) || (recorded != m_state.workers().end() && recorded->second.pool == profile.pool);
+}
+
+Expected<void> WorkflowScheduler::onWorkerReport(const WorkerReport& report, TimePoint now)
 {
     if (!m_isLeader)
-        return;
+        return {};
+    if (!m_state.table().version)
+        return makeError(ErrorCode::Unavailable, "there is no queue table yet");
+    if (!isPoolInUse(report.profile))
+        return makeError(ErrorCode::InvalidArgument, "the queue table has no pool " + report.profile.pool.value());
     const auto result = m_workerTracker.applyReport(report, now);
     if (result != WorkerTracker::ReportResult::Stale && !isRecorded(report))
         m_unrecordedWorkers.insert(report.profile.incarnation.worker);
+    return {};
 }
 
 bool WorkflowScheduler::isRecorded(const WorkerReport& report) const
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -34,7 +34,9 @@
     uint64_t fence() const { return m_fence; }
 
     // Reports and responses of workers and the permission service. `sentAt` is a time before the poll was sent.
-    void onWorkerReport(const WorkerReport&, TimePoint now);
+    /// Errors, after which nothing has changed: InvalidArgument: the worker's pool is not one of this installation, so
+    /// that the report must be another writer's. Unavailable: there is no queue table yet to tell.
+    Expected<void> onWorkerReport(const WorkerReport&, TimePoint now);
     void onWorkerLeaving(const WorkerId&, TimePoint now);
     void onStartResponse(const StartRunRequest&, const RunResponse&, TimePoint now);
     void onStopResponse(const StopRunRequest&, const RunResponse&, TimePoint now);
@@ -120,6 +122,7 @@
     void collectReady(const WorkflowRecord&, TrackedWorkflow&, TimePoint now, WallTime wall);
     std::vector<ReadyStep::Task> readyTasks(const WorkflowRecord&, const OccurrenceRecord&, uint32_t step) const;
     void stopPlacedRuns(const WorkflowRecord&, TimePoint now);
+    bool isPoolInUse(const WorkerProfile&) const;
     Queue queueOf(const WorkflowRecord&) const;
     size_t countPending(const QueueName&) const;
     void beginDueOccurrences(std::vector<WorkflowCommand>&, WallTime wall);
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(workflowIsPendingUntilAWorkerHasExecutedAStart);
     CPPUNIT_TEST(startedWorkflowIsNotPendingAfterALeaderChange);
     CPPUNIT_TEST(permissionIsRequestedWhileTheAcceptanceIsCommitted);
+    CPPUNIT_TEST(reportOfAnotherInstallationChangesNothing);
+    CPPUNIT_TEST(workersOfARemovedPoolStillReport);
     CPPUNIT_TEST(workOfARemovedQueueStillAsksForPermission);
     CPPUNIT_TEST(workOfARemovedQueueAsksForPermissionAfterALeaderChange);
     CPPUNIT_TEST(workOfARemovedQueueKeepsItsPriority);
@@ -125,6 +127,56 @@
         CPPUNIT_ASSERT_EQUAL(std::string("t"), advance().starts.at(0).permissionToken);
     }
 
+    static WorkerReport reportOf(const char* worker, int64_t startTimeMs, const char* pool)
+    {
+        WorkerReport report;
+        report.profile = samples::profile(worker, startTimeMs);
+        report.profile.incarnation.address = "10.9.9.9:1";
+        report.profile.pool = PoolName(pool);
+        report.sequence = 1;
+        return report;
+    }
+
+    // Guards against tasks that run on two workers: a report of another installation with the id of a worker, and a
+    // later start, made the worker's runs count as lost.
+    void reportOfAnotherInstallationChangesNothing()
+    {
+        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("w", 2, "other"), m_now));
+        m_scheduler.becomeLeader(1, m_now, epoch);
+        // Without a table, nothing tells whether the pool is one of this installation.
+        CPPUNIT_ASSERT(
+            m_scheduler.onWorkerReport(reportOf("w", 2, "other"), m_now).error().code == ErrorCode::Unavailable);
+        respond(placeTask(), WorkerRequestStatus::Done);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_scheduler.runController().size());
+        CPPUNIT_ASSERT(
+            m_scheduler.onWorkerReport(reportOf("w", 2, "other"), m_now).error().code == ErrorCode::InvalidArgument);
+        advance();
+        advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_scheduler.runController().size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 1 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+        // A restart of the worker itself ends its runs as before.
+        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("w", 2, "pool"), m_now));
+        advance();
+        advance();
+        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+    }
+
+    // Guards against workers that cannot announce their shutdown, or report to a new leader, once their pool is
+    // removed.
+    void workersOfARemovedPoolStillReport()
+    {
+        begin(samples::table());
+        advance();
+        QueueTable table = samples::table(2);
+        table.pools[0].name = PoolName("pool2");
+        for (auto& queue : table.queues)
+            queue.pool = table.pools[0].name;
+        apply({ ReplaceTable { table } });
+        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("w", 1, "pool"), m_now));
+        CPPUNIT_ASSERT(!m_scheduler.onWorkerReport(reportOf("v", 1, "pool"), m_now));
+        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("v", 1, "pool2"), m_now));
+    }
+
     // The table in which another queue has the place of "q".
     static QueueTable tableWithReplacedQueue(const QueueTable& table)
     {
