Offer no ended incarnations of workers to the planner

Its capacity counted twice in admission.

Test: RunControllerTest::supersededIncarnationGetsNoWork failed before.

--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -158,7 +158,7 @@
 
 bool WorkerTracker::isHealthy(const TrackedWorker& worker, TimePoint now) const
 {
-    return worker.isProfileKnown && !worker.profile.isDraining && !worker.leavingSince
+    return worker.isProfileKnown && !worker.isSuperseded && !worker.profile.isDraining && !worker.leavingSince
         && now - worker.lastContactAt < m_settings.contactTimeout && !worker.consecutiveFailedCalls
         && now >= worker.backoffEnd && now >= worker.probationEnd;
 }
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(startThatCannotBeSentIsAbandoned);
     CPPUNIT_TEST(retriedStartsDoNotRenewTheLease);
     CPPUNIT_TEST(newIncarnationEndsTheOldOne);
+    CPPUNIT_TEST(supersededIncarnationGetsNoWork);
     CPPUNIT_TEST(endAfterAnAnnouncedShutdownIsNoCrash);
     CPPUNIT_TEST(unacknowledgedStartIsStoppedOnTheNextIncarnation);
     CPPUNIT_TEST(startExecutedByTheNextIncarnationKeepsItsCapacity);
@@ -357,6 +358,20 @@
         CPPUNIT_ASSERT(m_runController.drainEnds().front().outcome == RunOutcome::WorkerCrashed);
     }
 
+    // Guards against tasks that are placed on an incarnation that has ended, and taken back, hundreds of times a
+    // second.
+    void supersededIncarnationGetsNoWork()
+    {
+        begin();
+        poll(advance().polls.at(0), m_now, {});
+        const TrackedWorker& worker = *m_workerTracker.find(samples::incarnation("w"));
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(worker, m_now));
+        report("w", 2);
+        CPPUNIT_ASSERT(!m_workerTracker.isUsable(worker, m_now));
+        // Its capacity counts once.
+        CPPUNIT_ASSERT_EQUAL(int64_t { 4000 }, m_workerTracker.capacity(samples::profile("w").pool, m_now).count());
+    }
+
     // Guards against tasks that are given up because their workers were shut down as planned.
     void endAfterAnAnnouncedShutdownIsNoCrash()
     {
