Do not give up tasks that last because their workers crash

Cause: the limit of crashes, which protects the cluster from tasks that crash their workers, held for tasks that last too.

Change: their crashes are counted, so that they run apart from other suspects, but never end the workflow.

--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -315,11 +315,12 @@
         return;
     task.crashes += entry.outcome == RunOutcome::WorkerCrashed ? 1 : 0;
     task.unconfirmedCrashes += entry.outcome == RunOutcome::WorkerMayHaveCrashed ? 1 : 0;
+    // Restarted however its runs end: over its time, machines crash under it without its doing.
+    if (spec.isLongRunning)
+        return;
     const uint32_t maxCrashesOfBothKinds = task.crashes ? maxCrashesWithUnconfirmed : maxUnconfirmedCrashes;
     if (task.crashes >= maxCrashes || task.crashes + task.unconfirmedCrashes >= maxCrashesOfBothKinds)
         return fail(record, step, task, FailureCause::WorkerCrashes);
-    if (spec.isLongRunning)
-        return;
     if (entry.outcome == RunOutcome::Done && spec.isGang) {
         // One member's success completes the whole gang; the others occupy their workers until their ends are reported.
         for (auto& member : step.tasks)
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(gangWithATaskThatCrashesItsWorkersIsGivenUp);
     CPPUNIT_TEST(crashCountsOutliveASnapshot);
     CPPUNIT_TEST(longRunningTasksAreNeverDone);
+    CPPUNIT_TEST(longRunningTaskIsNotGivenUpForCrashes);
     CPPUNIT_TEST(cancelledWorkflowStartsNothing);
     CPPUNIT_TEST(occurrencesFinishOneByOne);
     CPPUNIT_TEST(olderIncarnationDoesNotReplaceANewerOne);
@@ -381,6 +382,22 @@
         }
     }
 
+    // Guards against a service that ends for good because one unstable machine crashed under it a few times.
+    void longRunningTaskIsNotGivenUpForCrashes()
+    {
+        auto service = samples::step(1);
+        service.isLongRunning = true;
+        apply({ samples::accept(samples::firstId, { service }) });
+        for (uint32_t number = 1; number <= 10; ++number) {
+            place({ samples::run(samples::firstId, 0, 0, number) });
+            const auto outcome = number % 2 ? RunOutcome::WorkerCrashed : RunOutcome::WorkerMayHaveCrashed;
+            end(samples::run(samples::firstId, 0, 0, number), outcome);
+            CPPUNIT_ASSERT(record().phase == WorkflowPhase::Active);
+        }
+        // It may still be what crashes its workers, so it runs apart from other suspects.
+        CPPUNIT_ASSERT(record().find({ { samples::firstId, 0, 0 }, 0 })->isSuspect());
+    }
+
     // Guards against starts that are committed after the cancellation.
     void cancelledWorkflowStartsNothing()
     {
