Plan steps beyond the first 256 if a worker of their kind has room

Cause: a planning pass looked at the first 256 steps only, as if all steps competed for the same workers.

Change: a pass goes on and plans up to 64 further steps whose demand is covered by the largest free capacity in their pool and label, which is found once in a pass.

--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -23,8 +23,10 @@
 /// Capacity is reserved during a permission call of at most this fraction of the task's run time. Without the
 /// reservation, queues with long-lived tokens take all capacity before queues that need a token for each step.
 constexpr double shortCallFraction = 0.05;
-/// Maximum number of steps per planning pass; steps further back are unlikely to fit.
+/// Maximum number of steps per planning pass. Steps further back are unlikely to fit, as those before them have not.
 constexpr size_t maxStepsPerPlan = 256;
+/// Number of steps beyond these that a pass plans because a worker of their kind still has capacity.
+constexpr size_t maxFurtherSteps = 64;
 /// Tasks of a step that must start within this time reserve the capacity in which they will fit soonest; otherwise less
 /// urgent work takes each part of it as it is released.
 constexpr Duration urgentWindow = 500ms;
@@ -96,20 +98,41 @@
     if (isFullPass)
         m_nextFullPassAt = now + fullPassInterval;
     sortSteps(steps, isFullPass, now);
-    for (size_t i = 0; i < steps.size() && i < maxStepsPerPlan; ++i) {
-        m_stepPermissions = &m_permissionTracker.permissionsOf(steps[i]->ref);
-        m_stepSize = resourceDemand(*steps[i]->spec);
-        m_stepPool = poolIndex(steps[i]->queue.pool);
-        if (!steps[i]->isAccepted)
-            requestPermissionsEarly(*steps[i], decisions, now);
-        else if (steps[i]->spec->isGang)
-            planGang(*steps[i], decisions, now);
+    m_largestFree.clear();
+    size_t planned = 0;
+    for (const ReadyStep* step : steps) {
+        m_stepSize = resourceDemand(*step->spec);
+        m_stepPool = poolIndex(step->queue.pool);
+        if (planned >= maxStepsPerPlan && !m_stepSize.isCoveredBy(largestFree(*step)))
+            continue;
+        if (planned++ >= maxStepsPerPlan + maxFurtherSteps)
+            break;
+        m_stepPermissions = &m_permissionTracker.permissionsOf(step->ref);
+        if (!step->isAccepted)
+            requestPermissionsEarly(*step, decisions, now);
+        else if (step->spec->isGang)
+            planGang(*step, decisions, now);
         else
-            planTasks(*steps[i], decisions, now);
+            planTasks(*step, decisions, now);
     }
     return decisions;
 }
 
+const Resources& Planner::largestFree(const ReadyStep& step)
+{
+    const std::string& label = step.spec->requiredLabel;
+    const auto known = std::find_if(m_largestFree.begin(), m_largestFree.end(),
+        [&](const LargestFree& entry) { return entry.pool == m_stepPool && *entry.label == label; });
+    if (known != m_largestFree.end())
+        return known->free;
+    LargestFree& added = m_largestFree.emplace_back(LargestFree { .pool = m_stepPool, .label = &label, .free = {} });
+    for (const auto& worker : m_workers) {
+        if (worker.pool == m_stepPool && (label.empty() || worker.tracked->profile.hasLabel(label)))
+            added.free = maxOf(added.free, worker.free);
+    }
+    return added.free;
+}
+
 uint32_t Planner::poolIndex(const PoolName& pool)
 {
     const auto found
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -41,10 +41,10 @@
         std::vector<RunRef> preemptions;
     };
 
-    /// Places the tasks that fit and leaves in `steps`, in scheduling order, the steps that were planned: all of them
-    /// if they are few, otherwise all every 30 ms, and in between those that come before any long work. Must therefore
-    /// be called at least that often. The only state that it changes for other decisions is the list of pending
-    /// permission requests; the caller must allocate each placement on its worker before the next call.
+    /// Places the tasks that fit and leaves in `steps`, in scheduling order, the steps that were considered: all of
+    /// them if they are few, otherwise all every 30 ms, and in between those that come before any long work. Must
+    /// therefore be called at least that often. The only state that it changes for other decisions is the list of
+    /// pending permission requests; the caller must allocate each placement on its worker before the next call.
     Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now);
 
 private:
@@ -77,6 +77,12 @@
         TimePoint builtAt;
         uint64_t pass { 0 }; // Last pass that used it.
     };
+    /// Largest free amount of each resource on any worker of a pool that has a label.
+    struct LargestFree {
+        uint32_t pool;
+        const std::string* label; // Of a step of this pass; empty: all workers of the pool.
+        Resources free;
+    };
     /// When and where tasks of a step are expected to fit.
     struct Reservation {
         TimePoint startsAt; // When all of them fit.
@@ -124,6 +130,8 @@
     std::vector<WorkerCapacity*> allowedWorkers(const ReadyStep&);
     /// Eligible workers of which no response says whether they may run the step.
     std::vector<WorkerCapacity*> unknownWorkers(const ReadyStep&);
+    /// Upper bound of what is free on a worker that may run the step, as of its first use in this pass.
+    const Resources& largestFree(const ReadyStep&);
     /// Index of the pool in m_pools; adds it if missing.
     uint32_t poolIndex(const PoolName&);
     void placeTasks(const ReadyStep&, const std::vector<WorkerCapacity*>&, Decisions&, TimePoint now);
@@ -173,6 +181,7 @@
     TimePoint m_nextFullPassAt;
     size_t m_reservingGangs { 0 };
     std::vector<const PoolName*> m_pools;
+    std::vector<LargestFree> m_largestFree;
     // State of the step that is being planned.
     const StepPermissions* m_stepPermissions { nullptr };
     Resources m_stepSize;
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
     CPPUNIT_TEST(tasksThatMayHaveCrashedAWorkerRunApart);
     CPPUNIT_TEST(shortUrgentWorkDoesNotWaitForPassesOverAllWaitingWork);
+    CPPUNIT_TEST(burstForAFullKindOfWorkerBlocksNoOtherWork);
     CPPUNIT_TEST(planIsDeterministic);
     CPPUNIT_TEST_SUITE_END();
 
@@ -582,6 +583,24 @@
         for (size_t i = 0; i < once.size(); ++i)
             CPPUNIT_ASSERT(once[i].run == again[i].run && once[i].incarnation == again[i].incarnation);
     }
+
+    // Guards against idle workers that get nothing, because more steps wait for another kind of worker than a pass
+    // plans.
+    void burstForAFullKindOfWorkerBlocksNoOtherWork()
+    {
+        addWorker("scarce", 4000, "r2");
+        addWorker("idle", 4000, "r1");
+        placeTask("scarce", 0, 4000);
+        StepSpec spec = samples::step(1);
+        spec.requiredLabel = "r2";
+        for (int i = 0; i < 2000; ++i)
+            addStep(WorkflowId(std::to_string(1'000'000'000'000'000 + i)), spec, 0);
+        addStep(samples::firstId, samples::step(1), 2);
+        const auto placements = plan().placements;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, placements.size());
+        CPPUNIT_ASSERT(placements[0].run.task.step.workflow == samples::firstId);
+        CPPUNIT_ASSERT_EQUAL(std::string("idle"), placements[0].incarnation.worker.value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannerTest);
