Keep tasks that last from a worker on probation for 3 s only

Cause: five failures of the one task put its worker on probation, and planning passes left out workers on probation altogether.

Change: probation is the planner's decision now. A task that lasts may use such a worker once it has waited for 3 s, as with workers on which its step has failed; tasks with attempts avoid it as before.

--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -81,12 +81,13 @@
     m_reservingGangs = 0;
     ++m_pass;
     for (auto& [incarnation, tracked] : m_workerTracker.workers()) {
-        if (!m_workerTracker.isUsable(tracked, now))
+        if (!m_workerTracker.isReadyForWork(tracked, now))
             continue;
         m_workers.push_back({ .tracked = &tracked,
             .number = tracked.number,
             .pool = poolIndex(tracked.profile.pool),
-            .free = tracked.free() });
+            .free = tracked.free(),
+            .isOnProbation = WorkerTracker::isOnProbation(tracked, now) });
     }
     m_workerByNumber.clear();
     for (auto& worker : m_workers) {
@@ -183,7 +184,11 @@
     if (worker.pool != m_stepPool || m_stepPermissions->isDenied(worker.number)
         || (!step.spec->requiredLabel.empty() && !worker.tracked->profile.hasLabel(step.spec->requiredLabel)))
         return false;
-    return step.avoidedWorkers.empty() || m_now - step.readySince >= avoidFailedWorkerFor
+    const bool hasWaited = m_now - step.readySince >= avoidFailedWorkerFor;
+    // A task that lasts has no attempts to lose, and may have no other worker.
+    if (worker.isOnProbation && !(step.spec->isLongRunning && hasWaited))
+        return false;
+    return step.avoidedWorkers.empty() || hasWaited
         || !step.avoidedWorkers.contains(worker.tracked->incarnation().worker);
 }
 
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -62,6 +62,7 @@
         const ReadyStep* lastStep { nullptr }; // The step of which this pass has placed tasks here last.
         uint32_t lastStepTasks { 0 }; // How many of its tasks.
         uint32_t plannedSuspects { 0 };
+        bool isOnProbation { false };
         /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
         /// Free capacity that is reserved for steps which come earlier. Only tasks that are expected to end before
--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -156,16 +156,16 @@
     return age < m_settings.maxProfileAge;
 }
 
-bool WorkerTracker::isHealthy(const TrackedWorker& worker, TimePoint now) const
+bool WorkerTracker::isPresent(const TrackedWorker& worker, TimePoint now) const
 {
     return worker.isProfileKnown && !worker.isSuperseded && !worker.profile.isDraining && !worker.leavingSince
         && now - worker.lastContactAt < m_settings.contactTimeout && !worker.consecutiveFailedCalls
-        && now >= worker.backoffEnd && now >= worker.probationEnd;
+        && now >= worker.backoffEnd;
 }
 
-bool WorkerTracker::isUsable(const TrackedWorker& worker, TimePoint now) const
+bool WorkerTracker::isReadyForWork(const TrackedWorker& worker, TimePoint now) const
 {
-    return isHealthy(worker, now) && isProfileCurrent(worker, now) && worker.clock.isKnown() && worker.hasConfirmedFence
+    return isPresent(worker, now) && isProfileCurrent(worker, now) && worker.clock.isKnown() && worker.hasConfirmedFence
         && !worker.hasInheritedRuns
         && (!worker.pendingStartSince || now - *worker.pendingStartSince < m_settings.startResponseTimeout);
 }
--- a/src/workflow/WorkerTracker.h
+++ b/src/workflow/WorkerTracker.h
@@ -55,10 +55,20 @@
 
     /// True if nothing speaks against new work on the worker. After a change of the leader it may still have to report
     /// its capacity and its runs first.
-    bool isHealthy(const TrackedWorker&, TimePoint now) const;
+    bool isHealthy(const TrackedWorker& worker, TimePoint now) const
+    {
+        return isPresent(worker, now) && !isOnProbation(worker, now);
+    }
 
     /// True if new work may be sent to the worker.
-    bool isUsable(const TrackedWorker&, TimePoint now) const;
+    bool isUsable(const TrackedWorker& worker, TimePoint now) const
+    {
+        return isReadyForWork(worker, now) && !isOnProbation(worker, now);
+    }
+    /// The same without regard to probation.
+    bool isReadyForWork(const TrackedWorker&, TimePoint now) const;
+    /// True for some time after several failed runs in a row.
+    static bool isOnProbation(const TrackedWorker& worker, TimePoint now) { return now < worker.probationEnd; }
 
     static void allocate(TrackedWorker&, const StepRef&, const StepSpec&);
     static void release(TrackedWorker&, const StepRef&, const StepSpec&);
@@ -74,6 +84,8 @@
     Millicores capacity(const PoolName&, TimePoint now) const;
 
 private:
+    /// True if the worker responds and stays.
+    bool isPresent(const TrackedWorker&, TimePoint now) const;
     /// Returns the entry of an incarnation; creates it if needed.
     TrackedWorker& findOrAdd(const WorkerIncarnation&);
     void recordStart(const WorkerIncarnation&);
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(spareCapacityTasksStartOnOvercommittedWorkers);
     CPPUNIT_TEST(reservingGangsScaleWithWorkers);
     CPPUNIT_TEST(unusableWorkersGetNoTasks);
+    CPPUNIT_TEST(probationDelaysLongRunningTasksForAMoment);
     CPPUNIT_TEST(recordedWorkerGetsNoTasksBeforeItResponds);
     CPPUNIT_TEST(failedTaskGoesToAnotherWorker);
     CPPUNIT_TEST(tasksThatMayHaveCrashedAWorkerRunApart);
@@ -535,6 +536,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"), plan().placements.front().incarnation.worker.value());
     }
 
+    // Guards against a service that stands still for 16 s: it had failed five times on the only worker of its kind.
+    void probationDelaysLongRunningTasksForAMoment()
+    {
+        addWorker("a");
+        TrackedWorker& worker = *m_workerTracker.find(samples::incarnation("a"));
+        for (int i = 0; i < 5; ++i)
+            m_workerTracker.onRunEnded(worker, RunOutcome::Failed, m_now);
+        auto service = samples::step(1);
+        service.isLongRunning = true;
+        addStep(samples::firstId, service).readySince = m_now;
+        addStep(samples::secondId, samples::step(1)).readySince = m_now;
+        CPPUNIT_ASSERT(plan().placements.empty());
+        m_now += 3500ms;
+        const auto placements = plan().placements;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, placements.size());
+        CPPUNIT_ASSERT(placements[0].run.task.step.workflow == samples::firstId);
+    }
+
     // Guards against work for a worker that left just before the leader changed or restarted: the record still names
     // it.
     void recordedWorkerGetsNoTasksBeforeItResponds()
