Reject submissions that their callers have cancelled before

The submission lay unread at a host that stood still, and the cancellation went through another host and was answered with 410.

Cause: a cancellation of an unknown workflow left no trace.

Change: the leader remembers such cancellations for 15 s and rejects submissions of these ids with 503.

--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -404,6 +404,8 @@
     const WorkflowId id(target->remainingPath);
     if (m_state.find(id))
         return respond(makeReply(ControlStatus::Done));
+    if (m_scheduler.wasCancelledEarly(id, steadyNow()))
+        return respond(makeReply(ControlStatus::NotReady, "the workflow was cancelled before it was submitted"));
     if (m_scheduler.isQueueBeingRemoved(target->queue->name))
         return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
     if (auto checked = checkWorkflowSpec(call.spec); !checked)
@@ -460,8 +462,10 @@
         return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
     const WorkflowId id(target->remainingPath);
     const WorkflowRecord* existing = m_state.find(id);
-    if (!existing && !m_pendingAcceptances.contains(id))
+    if (!existing && !m_pendingAcceptances.contains(id)) {
+        m_scheduler.onUnknownWorkflowCancelled(id, steadyNow());
         return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
+    }
     if (existing && !existing->isActive())
         return respond(makeReply(ControlStatus::Done));
     m_log.onCancelled(id);
--- /dev/null
+++ b/src/workflow/EarlyCancellations.cpp
@@ -0,0 +1,50 @@
+#include "workflow/EarlyCancellations.h"
+
+namespace hickoryknot::workflow {
+
+namespace {
+
+/// A submission that arrives later than this after its cancellation is taken for a new one. Hosts stand still for
+/// seconds.
+constexpr Duration retention = 15s;
+/// Bounds the memory to a few megabytes.
+constexpr size_t maxEntries = 20'000;
+
+} // namespace
+
+void EarlyCancellations::clear()
+{
+    m_cancelledAt.clear();
+    m_order.clear();
+}
+
+void EarlyCancellations::add(const WorkflowId& id, TimePoint now)
+{
+    m_cancelledAt.insert_or_assign(id, now);
+    m_order.emplace_back(now, id);
+    if (m_order.size() > maxEntries)
+        removeOldest();
+}
+
+bool EarlyCancellations::contains(const WorkflowId& id, TimePoint now) const
+{
+    const auto found = m_cancelledAt.find(id);
+    return found != m_cancelledAt.end() && now - found->second < retention;
+}
+
+void EarlyCancellations::advance(TimePoint now)
+{
+    while (!m_order.empty() && now - m_order.front().first >= retention)
+        removeOldest();
+}
+
+void EarlyCancellations::removeOldest()
+{
+    const auto& [at, id] = m_order.front();
+    const auto found = m_cancelledAt.find(id);
+    if (found != m_cancelledAt.end() && found->second == at)
+        m_cancelledAt.erase(found);
+    m_order.pop_front();
+}
+
+} // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -76,6 +76,7 @@
     m_readySteps.clear();
     m_proposedWorkflows.clear();
     m_proposedTable = {};
+    m_earlyCancellations.clear();
     m_pendingByQueue.clear();
     m_timedWorkflows.clear();
     m_nextOccurrenceMs.clear();
@@ -220,6 +221,7 @@
     Output output;
     if (!m_isLeader)
         return output;
+    m_earlyCancellations.advance(now);
     refreshChangedWorkflows(now, wall);
     m_runController.advance(now, output.requests);
 
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "workflow/AdmissionController.h"
+#include "workflow/EarlyCancellations.h"
 #include "workflow/Planner.h"
 #include "workflow/RunController.h"
 #include "workflow/WorkflowListener.h"
@@ -64,6 +65,12 @@
     /// The acceptance of a workflow is about to be proposed; requests for its first steps may be prepared meanwhile.
     void onAcceptanceProposed(const AcceptWorkflow&, TimePoint now);
 
+    /// A caller has cancelled a workflow that is neither known nor about to be.
+    void onUnknownWorkflowCancelled(const WorkflowId& id, TimePoint now) { m_earlyCancellations.add(id, now); }
+    /// True if a submission must be rejected, because its caller has cancelled it meanwhile. Known to this leadership
+    /// only.
+    bool wasCancelledEarly(const WorkflowId& id, TimePoint now) const { return m_earlyCancellations.contains(id, now); }
+
     /// A table is about to be proposed. Until it is applied, the queues that it removes accept no more workflows: their
     /// acceptances might be committed after the removal, when their queue is no longer known.
     void onTableProposed(const QueueTable&);
@@ -145,6 +152,7 @@
     PermissionTracker m_permissionTracker;
     Planner m_planner;
     AdmissionController m_admissionController;
+    EarlyCancellations m_earlyCancellations;
 
     std::set<WorkflowId> m_changedWorkflows;
     std::map<WorkflowId, TrackedWorkflow> m_trackedWorkflows;
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(permissionIsRequestedWhileTheAcceptanceIsCommitted);
     CPPUNIT_TEST(reportOfAnotherInstallationChangesNothing);
     CPPUNIT_TEST(workersOfARemovedPoolStillReport);
+    CPPUNIT_TEST(cancellationThatOvertakesTheSubmissionHolds);
     CPPUNIT_TEST(workOfARemovedQueueStillAsksForPermission);
     CPPUNIT_TEST(workOfARemovedQueueAsksForPermissionAfterALeaderChange);
     CPPUNIT_TEST(workOfARemovedQueueKeepsItsPriority);
@@ -177,6 +178,30 @@
         CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("v", 1, "pool2"), m_now));
     }
 
+    // Guards against a workflow that runs although its caller has cancelled it: the submission lay unread at a host
+    // that stood still, and the cancellation came first, through another host.
+    void cancellationThatOvertakesTheSubmissionHolds()
+    {
+        begin(samples::table());
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, m_now));
+        m_scheduler.onUnknownWorkflowCancelled(samples::firstId, m_now);
+        m_scheduler.onUnknownWorkflowCancelled(samples::secondId, m_now + 5s);
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::firstId, m_now + 14s));
+        // Ids may be used again later.
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, m_now + 16s));
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, m_now + 16s));
+        m_now += 16s;
+        advance();
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, m_now));
+        m_scheduler.becomeLeader(2, m_now, epoch);
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::secondId, m_now));
+        // Callers that cancel without end use no memory without end.
+        for (int i = 0; i < 50'000; ++i)
+            m_scheduler.onUnknownWorkflowCancelled(WorkflowId(std::to_string(i)), m_now);
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(WorkflowId("0"), m_now));
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(WorkflowId("49999"), m_now));
+    }
+
     // The table in which another queue has the place of "q".
     static QueueTable tableWithReplacedQueue(const QueueTable& table)
     {
