--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -9,7 +9,6 @@
 #include "control/ControlPaths.h"
 #include "control/HostAddress.h"
 #include "control/InitialMembersFile.h"
-#include "core/Hash.h"
 #include "report/PrometheusText.h"
 
 namespace hickoryknot {
@@ -27,8 +26,6 @@
 /// The same for many workers, where each cycle and log entry costs more and events are more frequent.
 constexpr Duration largeClusterBatchDelay = 10ms;
 constexpr size_t largeClusterWorkers = 100;
-/// A follower serves reads if its last contact with the leader is this recent: a few heartbeats of the log.
-constexpr Duration maxReplicaAge = 200ms;
 /// Minimum time between changes of the group's members.
 constexpr Duration memberChangeInterval = 300ms;
 /// A voter without contact for this long is replaced by a live non-voting replica, if there is one. A restart takes
@@ -37,21 +34,6 @@
 /// Log entries between snapshots; writing a snapshot blocks the host for some milliseconds.
 constexpr uint64_t snapshotInterval = 8192;
 
-std::string_view withoutTrailingSlashes(std::string_view rest)
-{
-    while (rest.ends_with('/'))
-        rest.remove_suffix(1);
-    return rest;
-}
-
-bool isWorkflowId(std::string_view text)
-{
-    constexpr size_t digits = 16;
-    return text.size() == digits && std::all_of(text.begin(), text.end(), [](unsigned char c) {
-        return std::isdigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
-    });
-}
-
 } // namespace
 
 WorkflowHost::WorkflowHost(boost::asio::io_context& io, const WorkflowHostSettings& settings, HostMessageLinks& links,
@@ -333,224 +315,6 @@
     }
 }
 
-ControlReply WorkflowHost::makeReply(ControlStatus status, std::string message) const
-{
-    ControlReply reply;
-    reply.status = status;
-    reply.message = std::move(message);
-    if (status == ControlStatus::NotLeader) {
-        const auto leader = m_runner->group().leader();
-        if (leader && *leader != m_settings.self)
-            reply.leader = *leader;
-    }
-    return reply;
-}
-
-void WorkflowHost::serve(const ControlCall& call, const Respond& respond)
-{
-    if (!isLeading()) {
-        auto reply = makeReply(ControlStatus::NotLeader, "this host does not lead");
-        for (const auto& member : m_runner->group().members())
-            reply.replicas.push_back(member.host);
-        return respond(std::move(reply));
-    }
-    const Respond respondWithLeader = [this, alive = m_isAlive, respond](ControlReply reply) {
-        if (*alive && reply.status != ControlStatus::NotLeader) {
-            reply.leader = m_settings.self;
-            reply.tableVersion = m_state.table().version;
-        }
-        respond(std::move(reply));
-    };
-    std::visit([&](const auto& typedCall) { handle(typedCall, respondWithLeader); }, call);
-}
-
-std::optional<ControlReply> WorkflowHost::readFromReplica(const StatusCall& call) const
-{
-    const auto& group = m_runner->group();
-    const bool isFresh = steadyNow() - group.lastLeaderContact() < maxReplicaAge && group.appliedIndex() > 0;
-    const QueueTable& table = m_state.table();
-    if (!isFresh || !table.version || table.version < call.minTableVersion)
-        return std::nullopt;
-    const auto target = table.resolve(call.address.requestedHost, call.address.path);
-    const WorkflowRecord* record
-        = target && isWorkflowId(target->remainingPath) ? m_state.find(WorkflowId(target->remainingPath)) : nullptr;
-    // The acceptance of a workflow that is missing here may not be replicated yet.
-    if (!record)
-        return std::nullopt;
-    auto reply = makeReply(ControlStatus::Done);
-    reply.phase = record->phase;
-    reply.hasStarted = record->hasStarted;
-    reply.tableVersion = table.version;
-    reply.leader = leader();
-    return reply;
-}
-
-void WorkflowHost::enqueueCommand(WorkflowCommand command, const Respond& respond, ControlReply reply)
-{
-    m_queuedCommands.push_back(std::move(command));
-    m_pendingReplies.push_back({ respond, std::move(reply) });
-    scheduleCycle(batchDelay());
-}
-
-void WorkflowHost::handle(const SubmitCall& call, const Respond& respond)
-{
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
-    if (!isWorkflowId(target->remainingPath))
-        return respond(makeReply(ControlStatus::Invalid, "the path does not end with an id of 16 hexadecimal digits"));
-    const WorkflowId id(target->remainingPath);
-    if (m_state.find(id))
-        return respond(makeReply(ControlStatus::Done));
-    if (m_scheduler.wasCancelledEarly(id, steadyNow()))
-        return respond(makeReply(ControlStatus::NotReady, "the workflow was cancelled before it was submitted"));
-    if (m_scheduler.isQueueBeingRemoved(target->queue->name))
-        return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
-    if (auto checked = checkWorkflowSpec(call.spec); !checked)
-        return respond(makeReply(ControlStatus::Invalid, checked.error().message));
-    if (!m_pendingAcceptances.contains(id)) {
-        constexpr uint64_t jitterSteps = 100;
-        const double jitter = static_cast<double>(hashBytes(id.value()) % jitterSteps) / jitterSteps;
-        if (const auto rejection = m_scheduler.checkAdmission(*target->queue, call.spec, jitter, steadyNow())) {
-            auto reply = makeReply(ControlStatus::Refused, "more work is waiting than can end in time");
-            reply.retryAfter = rejection->retryAfter;
-            m_log.onRefused(id, target->queue->name, *rejection);
-            return respond(std::move(reply));
-        }
-    }
-    // If the acceptance is still being committed, a repeated submission commits it again, which changes nothing.
-    m_pendingAcceptances.try_emplace(id, steadyNow());
-    AcceptWorkflow command { .id = id,
-        .queue = target->queue->name,
-        .pool = target->queue->pool,
-        .maxAttempts = target->queue->maxAttempts,
-        .spec = call.spec,
-        .acceptedMs = wallNow().time_since_epoch() / 1ms };
-    m_scheduler.onAcceptanceProposed(command, steadyNow());
-    enqueueCommand(std::move(command), respond, makeReply(ControlStatus::Done));
-}
-
-void WorkflowHost::handle(const StatusCall& call, const Respond& respond)
-{
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
-    auto reply = makeReply(ControlStatus::Done);
-    if (withoutTrailingSlashes(target->remainingPath).empty()) {
-        reply.isQueue = true;
-        reply.pending = m_scheduler.pendingWorkflows(target->queue->name);
-        return respond(std::move(reply));
-    }
-    const WorkflowRecord* record = m_state.find(WorkflowId(target->remainingPath));
-    if (!record)
-        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
-    reply.phase = record->phase;
-    reply.hasStarted = record->hasStarted;
-    respond(std::move(reply));
-}
-
-void WorkflowHost::handle(const CancelCall& call, const Respond& respond)
-{
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
-    const WorkflowId id(target->remainingPath);
-    const WorkflowRecord* existing = m_state.find(id);
-    if (!existing && !m_pendingAcceptances.contains(id)) {
-        m_scheduler.onUnknownWorkflowCancelled(id, steadyNow());
-        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
-    }
-    if (existing && !existing->isActive())
-        return respond(makeReply(ControlStatus::Done));
-    m_log.onCancelled(id);
-    enqueueCommand(CancelWorkflow { .id = id }, respond, makeReply(ControlStatus::Done));
-}
-
-void WorkflowHost::handle(const ReplaceTableCall& call, const Respond& respond)
-{
-    if (auto checked = checkQueueTable(call.table); !checked) {
-        EventLog::write(EventLevel::Warning, Event::TableChangeRefused, checked.error().message,
-            { { "version", std::to_string(call.table.version) } });
-        return respond(makeReply(ControlStatus::Invalid, checked.error().message));
-    }
-    if (call.table.version <= m_state.table().version)
-        return respond(makeReply(ControlStatus::Done));
-    EventLog::write(EventLevel::Info, Event::TableChanged, "committing a new queue table",
-        { { "version", std::to_string(call.table.version) }, { "queues", std::to_string(call.table.queues.size()) } });
-    m_scheduler.onTableProposed(call.table);
-    enqueueCommand(ReplaceTable { .table = call.table }, respond, makeReply(ControlStatus::Done));
-}
-
-void WorkflowHost::handle(const ReadTableCall&, const Respond& respond)
-{
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    auto reply = makeReply(ControlStatus::Done);
-    reply.tableVersion = m_state.table().version;
-    reply.text = m_state.table().document;
-    respond(std::move(reply));
-}
-
-void WorkflowHost::handle(const WorkerReportCall& call, const Respond& respond)
-{
-    if (auto applied = m_scheduler.onWorkerReport(call.report, steadyNow()); !applied) {
-        EventLog::write(EventLevel::Warning, Event::RequestRejected, applied.error().message,
-            { { "worker", call.report.profile.incarnation.worker.value() } });
-        const bool isInvalid = applied.error().code == ErrorCode::InvalidArgument;
-        return respond(
-            makeReply(isInvalid ? ControlStatus::Invalid : ControlStatus::NotReady, applied.error().message));
-    }
-    // The report is acknowledged only once it is committed, so that later leaders know it too.
-    if (m_scheduler.isRecorded(call.report))
-        return respond(makeReply(ControlStatus::Done));
-    m_pendingReplies.push_back({ respond, makeReply(ControlStatus::Done) });
-    scheduleCycle(batchDelay());
-}
-
-void WorkflowHost::handle(const WorkerLeaveCall& call, const Respond& respond)
-{
-    m_scheduler.onWorkerLeaving(call.worker, steadyNow());
-    respond(makeReply(ControlStatus::Done));
-}
-
-void WorkflowHost::handle(const HostHeartbeatCall& call, const Respond& respond)
-{
-    const TimePoint now = steadyNow();
-    if (call.canRequestPermissions && !call.isDraining)
-        m_permissions.onProxyHeartbeat(call.host, now);
-    if (call.isWorkerProxy && !call.isDraining)
-        m_workers.onProxyHeartbeat(call.host, now);
-    if (call.isReplica) {
-        TrackedHost& tracked = m_hosts[call.host];
-        tracked.host = call.host;
-        tracked.zone = call.zone;
-        tracked.storeId = call.storeId;
-        tracked.incarnation = call.incarnation;
-        tracked.lastContactAt = now;
-    }
-    auto reply = makeReply(ControlStatus::Done);
-    reply.leader = m_settings.self;
-    reply.tableVersion = m_state.table().version;
-    for (const auto& member : m_runner->group().members())
-        reply.replicas.push_back(member.host);
-    respond(std::move(reply));
-}
-
-void WorkflowHost::handle(const ExplainCall& call, const Respond& respond)
-{
-    auto reply = makeReply(ControlStatus::Done);
-    reply.text = m_scheduler.explain(call.workflow, steadyNow(), wallNow());
-    if (reply.text.empty())
-        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
-    respond(std::move(reply));
-}
-
 void WorkflowHost::reconcileMembers(TimePoint now)
 {
     m_nextMemberChange = now + memberChangeInterval;
