--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -135,6 +135,19 @@
             m_now, m_now);
     }
 
+    // Starts a leadership with a step of two tasks whose starts are acknowledged, and returns the poll sent with them.
+    PollRequest startBoth(const RunRef& second)
+    {
+        begin(2);
+        place(m_run);
+        place(second);
+        const auto requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, requests.starts.size());
+        for (const auto& request : requests.starts)
+            respond(request, WorkerRequestStatus::Done);
+        return requests.polls.at(0);
+    }
+
     // Commits the ends received so far.
     std::vector<EndRuns::Entry> commitEnds()
     {
@@ -269,15 +282,10 @@
     // incarnation before confirmed its ends by that one's numbers. Found with seed 9 of the soak test.
     void pollAfterAFailedCallConfirmsNoEnds()
     {
-        begin(2);
         const auto second = samples::run(samples::firstId, 0, 1);
-        place(m_run);
-        place(second);
-        const auto requests = advance();
-        for (const auto& request : requests.starts)
-            respond(request, WorkerRequestStatus::Done);
+        const PollRequest firstPoll = startBoth(second);
         m_now += 1ms;
-        poll(requests.polls.at(0), m_now, { { .run = second, .checkpoint = {} } }, { done(3, m_run) });
+        poll(firstPoll, m_now, { { .run = second, .checkpoint = {} } }, { done(3, m_run) });
         commitEnds();
         auto polls = advance().polls;
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
@@ -620,16 +628,10 @@
     // whose ends came with a later list were taken to be lost.
     void runMissingFromACutListIsKept()
     {
-        begin(2);
         const auto second = samples::run(samples::firstId, 0, 1);
-        place(m_run);
-        place(second);
-        const auto requests = advance();
-        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, requests.starts.size());
-        for (const auto& request : requests.starts)
-            respond(request, WorkerRequestStatus::Done);
+        const PollRequest firstPoll = startBoth(second);
         m_now += 5ms;
-        pollWithMoreEnds(requests.polls.at(0), { done(1, m_run) });
+        pollWithMoreEnds(firstPoll, { done(1, m_run) });
         auto ends = commitEnds();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
         CPPUNIT_ASSERT(ends[0].run == m_run);
@@ -690,15 +692,10 @@
     // Guards against ends that stay unknown for the length of a long poll.
     void restOfACutListIsPolledWithoutWaiting()
     {
-        begin(2);
         const auto second = samples::run(samples::firstId, 0, 1);
-        place(m_run);
-        place(second);
-        const auto requests = advance();
-        for (const auto& request : requests.starts)
-            respond(request, WorkerRequestStatus::Done);
+        const PollRequest firstPoll = startBoth(second);
         m_now += 5ms;
-        pollWithMoreEnds(requests.polls.at(0), { done(1, m_run) });
+        pollWithMoreEnds(firstPoll, { done(1, m_run) });
         commitEnds();
         auto polls = advance().polls;
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
