--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -206,6 +207,68 @@
     return hasRun && state == "completed" ? ruleHeld : ruleBroken;
 }
 
+// A burst of lookups, which one worker of eight may run, and then a job that any worker may run.
+int burstBeforeJob(Cluster& cluster, bool isTroubled, Record& record)
+{
+    constexpr const char* lookupPrefix = "/lookups/";
+    constexpr double lookupsPerSecond = 48.2;
+    constexpr double burst = 2.1;
+    constexpr int calmMs = 1500;
+    constexpr int burstMs = 4000;
+    constexpr int finishMs = 14'000;
+    constexpr int idleMs = 3000;
+    const QueueOptions lookups { .name = "r-9n73hh2",
+        .prefix = lookupPrefix,
+        .priority = 0,
+        .targetLatencyMs = 250,
+        .stretch = 1.5,
+        .needsTicket = true };
+    const QueueOptions jobs {
+        .name = "r-73d3zji", .prefix = Cluster::prefix, .priority = 2, .targetLatencyMs = 250, .stretch = 1.5
+    };
+    if (!cluster.putConfiguration(12, { lookups, jobs }))
+        return couldNotRun;
+    const json step { { "count", 1 }, { "cpu", 25 }, { "memMb", 4300 }, { "estimateMs", 1600 } };
+    const std::string body = json { { "spec", "ms=1600 ticket" }, { "steps", { step } } }.dump();
+    std::atomic<int> accepted { 0 };
+    std::atomic<int> refused { 0 };
+    std::vector<std::thread> callers;
+    const auto start = Clock::now();
+    double due = 0;
+    for (int number = 0; due < calmMs + burstMs; ++number) {
+        std::this_thread::sleep_until(start + std::chrono::duration<double, std::milli>(due));
+        callers.emplace_back([&, number] {
+            char id[17];
+            std::snprintf(id, sizeof id, "b04cb6e2%08x", number);
+            const auto answer = cluster.call("POST", lookupPrefix + std::string(id), body, 1);
+            ++(answer && answer->status == 200 ? accepted : refused);
+        });
+        due += 1000 / (lookupsPerSecond * (isTroubled && due >= calmMs ? burst : 1));
+    }
+    for (auto& caller : callers)
+        caller.join();
+    record.write("lookups: " + std::to_string(accepted) + " accepted, " + std::to_string(refused) + " not accepted");
+    const std::string job = "c15dc7f3a08b91e2";
+    if (!submit(cluster, record, job, submission(100, 1)))
+        return couldNotRun;
+    record.write("the traffic ends");
+    const auto endOfTraffic = Clock::now();
+    std::this_thread::sleep_until(endOfTraffic + Milliseconds(finishMs));
+    record.write("GET " + job + " -> " + cluster.stateOf(job));
+    std::this_thread::sleep_until(endOfTraffic + Milliseconds(finishMs + idleMs));
+    size_t idle = 0;
+    for (size_t i = 0; i < cluster.workerCount(); ++i)
+        idle += cluster.worker(i).runningTasks().empty() ? 1 : 0;
+    const auto intervals = cluster.intervals();
+    const bool hasRun = std::any_of(
+        intervals.begin(), intervals.end(), [&](const RunInterval& run) { return run.task.starts_with(job); });
+    if (!hasRun)
+        record.write("LOST: nothing of the job has run until 17 s after the end of the traffic, and "
+            + std::to_string(idle) + " of 8 workers are idle");
+    record.write("the job's state at last: " + awaitFinalState(cluster, record, job, 50'000));
+    return hasRun ? ruleHeld : ruleBroken;
+}
+
 using Case = int (*)(Cluster&, bool, Record&);
 
 const std::map<std::string, Case> cases {
@@ -213,6 +276,7 @@
     { "crashed-workers", crashedWorkers },
     { "lasting-task", lastingTask },
     { "silent-worker", silentWorker },
+    { "burst-before-job", burstBeforeJob },
 };
 
 } // namespace
--- a/review/standin-2/Cluster.cpp
+++ b/review/standin-2/Cluster.cpp
@@ -20,10 +20,15 @@
 constexpr uint16_t readinessPort = 8167;
 constexpr uint16_t internalPort = 7720;
 constexpr uint16_t workerPort = 8080;
+constexpr uint16_t advicePort = 8169;
+constexpr int adviceAddress = 40;
+/// Cost of a call for advice, as the lookups of the sites have it, and how long a ticket is valid.
+constexpr double decideMs = 10;
+constexpr double eachMs = 0.15;
+constexpr int validMs = 2500;
 constexpr const char* callerHost = "nony24.example";
 constexpr const char* service = "huvo11a";
 constexpr int zones = 3;
-constexpr int callAttempts = 5; // The first one and four retries.
 constexpr Milliseconds callTimeout { 3000 };
 
 } // namespace
@@ -100,8 +105,8 @@
         { "ip", host.address }, { "internalPortRange", { internalPort, internalPort + 15 } }, { "seeds", seeds },
         { "bootstrap", isFirstStart }, { "inTolerance", false }, { "listen", listen }, { "heartbeatMs", 1500 },
         { "contracts", { "base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing" } },
-        { "orders", "call" }, { "faultTolerance", { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } },
-        { "bounds", bounds } };
+        { "orders", "call" }, { "advice", address(adviceAddress) + ":" + std::to_string(advicePort) },
+        { "faultTolerance", { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } }, { "bounds", bounds } };
     if (host.role == "control")
         settings["dataDir"] = folder + "/data";
     const std::string settingsFile = folder + "/settings.json";
@@ -133,9 +138,12 @@
 
 bool Cluster::start()
 {
+    m_advice = std::make_unique<HttpServer>(
+        address(adviceAddress), advicePort, [this](const HttpMessage& request) { return advise(request); });
+    m_advice->start();
     for (auto& host : m_hosts)
         startHost(host, true);
-    if (!putConfiguration())
+    if (!putConfiguration(7, { { .name = "r-3hwrr6x", .prefix = prefix } }))
         return false;
     for (auto& worker : m_workers)
         worker->start();
@@ -154,14 +162,36 @@
     return true;
 }
 
-bool Cluster::putConfiguration()
+std::optional<HttpMessage> Cluster::advise(const HttpMessage& request)
 {
-    const json route { { "name", "r-3hwrr6x" }, { "host", callerHost }, { "pathPrefix", prefix }, { "kind", "unsafe" },
-        { "timeoutMs", 3000 }, { "targetLatencyMs", 3000 }, { "priority", 1 }, { "service", service },
-        { "maxAttempts", 4 }, { "stretch", 4.0 } };
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("step") || !body.contains("workers"))
+        return HttpMessage { .status = 400, .body = "{}" };
+    const auto delay = decideMs + eachMs * static_cast<double>(body["workers"].size());
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(delay));
+    json granted = json::array();
+    for (const std::string worker : body["workers"]) {
+        if (worker == m_workers.front()->id())
+            granted.push_back({ worker, Worker::makeTicket(body["step"], worker, Milliseconds(validMs)) });
+    }
+    return HttpMessage { .status = 200, .body = json { { "granted", granted } }.dump() };
+}
+
+bool Cluster::putConfiguration(int version, const std::vector<QueueOptions>& queues)
+{
+    json routes = json::array();
+    for (const auto& queue : queues) {
+        json route { { "name", queue.name }, { "host", callerHost }, { "pathPrefix", queue.prefix },
+            { "kind", "unsafe" }, { "timeoutMs", 3000 }, { "targetLatencyMs", queue.targetLatencyMs },
+            { "priority", queue.priority }, { "service", service }, { "maxAttempts", 4 },
+            { "stretch", queue.stretch } };
+        if (queue.needsTicket)
+            route["advice"] = { { "decideMs", decideMs }, { "eachMs", eachMs }, { "validMs", validMs } };
+        routes.push_back(route);
+    }
     const json pool { { "name", service }, { "healthPath", "/healthz" }, { "maxConns", 64 }, { "protocol", "h1" },
         { "tls", false }, { "rejectsOverload", false }, { "standby", false } };
-    const json body { { "version", 7 }, { "routes", { route } }, { "services", { pool } },
+    const json body { { "version", version }, { "routes", routes }, { "services", { pool } },
         { "limits",
             { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
                 { "idleTimeoutMs", 15000 } } } };
@@ -175,7 +205,7 @@
                 .body = body.dump() },
             Milliseconds(1000));
         if (answer && answer->status == 200) {
-            m_record.write("configuration 7 is confirmed");
+            m_record.write("configuration " + std::to_string(version) + " is confirmed");
             return true;
         }
         std::this_thread::sleep_for(Milliseconds(200));
@@ -207,10 +237,11 @@
     return all;
 }
 
-std::optional<HttpMessage> Cluster::call(const std::string& method, const std::string& path, const std::string& body)
+std::optional<HttpMessage> Cluster::call(
+    const std::string& method, const std::string& path, const std::string& body, int attempts)
 {
     std::optional<HttpMessage> answer;
-    for (int attempt = 0; attempt < callAttempts; ++attempt) {
+    for (int attempt = 0; attempt < attempts; ++attempt) {
         const auto& host = m_hosts[2 * (m_nextEntry++ % zones) + 1];
         answer = callHttp(host.address, callerPort,
             { .method = method,
--- a/review/standin-2/Cluster.h
+++ b/review/standin-2/Cluster.h
@@ -17,6 +17,17 @@
     size_t workers { 8 };
 };
 
+/// A queue of the configuration.
+struct QueueOptions {
+    std::string name;
+    std::string prefix;
+    int priority { 1 };
+    int targetLatencyMs { 3000 };
+    double stretch { 4 };
+    /// Starts need a ticket of the advice service.
+    bool needsTicket { false };
+};
+
 /// A small deployment on loopback addresses: three control hosts, three entry hosts and workers in three zones.
 class Cluster {
 public:
@@ -25,6 +36,8 @@
 
     /// Starts everything, applies the configuration and waits until the workers are known. False: not in time.
     bool start();
+    /// Applies a configuration with these queues.
+    bool putConfiguration(int version, const std::vector<QueueOptions>&);
 
     struct Host {
         std::string name;
@@ -45,7 +58,8 @@
     std::vector<RunInterval> intervals() const;
 
     /// A call of a caller. Retried with the same id at the next entry host while there is no clear answer.
-    std::optional<HttpMessage> call(const std::string& method, const std::string& path, const std::string& body = {});
+    std::optional<HttpMessage> call(
+        const std::string& method, const std::string& path, const std::string& body = {}, int attempts = 5);
     /// The state of a job, or the status code if the answer holds no state.
     std::string stateOf(const std::string& job);
 
@@ -53,13 +67,15 @@
 
 private:
     std::string address(int number) const;
-    bool putConfiguration();
+    /// Answers for the advice service, which allows the first worker alone for every step.
+    std::optional<HttpMessage> advise(const HttpMessage&);
 
     const ClusterOptions m_options;
     Record& m_record;
     std::vector<Host> m_hosts;
     std::vector<std::unique_ptr<Worker>> m_workers;
-    size_t m_nextEntry { 0 };
+    std::unique_ptr<HttpServer> m_advice;
+    std::atomic<size_t> m_nextEntry { 0 };
 };
 
 } // namespace review
--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -35,6 +35,9 @@
     return Milliseconds(at == std::string::npos ? 1000 : std::atoll(command.c_str() + at + 3));
 }
 
+/// Milliseconds of the clock that tickets refer to.
+int64_t ticketClock() { return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count(); }
+
 std::string describe(const std::pair<std::string, uint64_t>& run)
 {
     return run.first + " #" + std::to_string(run.second);
@@ -42,6 +45,11 @@
 
 } // namespace
 
+std::string Worker::makeTicket(const std::string& step, const std::string& worker, Milliseconds validity)
+{
+    return step + "|" + worker + "|" + std::to_string(ticketClock() + validity.count());
+}
+
 Worker::Worker(WorkerOptions options, Record& record)
     : m_options(std::move(options))
     , m_record(record)
@@ -206,8 +214,13 @@
     }
     if (until <= clock())
         return refuse("late");
-    extendLease(until);
     const std::string command = body.value("spec", "");
+    const std::string ticket = body.value("ticket", "");
+    const std::string granted = task.substr(0, task.rfind('.')) + "|" + id() + "|";
+    const bool isValid = ticket.starts_with(granted) && ticketClock() < std::atoll(ticket.c_str() + granted.size());
+    if (command.find("ticket") != std::string::npos && !isValid)
+        return refuse("ticket");
+    extendLease(until);
     Run added;
     added.duration = durationOf(command);
     added.interval = m_intervals.size();
--- a/review/standin-2/Worker.h
+++ b/review/standin-2/Worker.h
@@ -45,7 +45,8 @@
     std::optional<Clock::time_point> notedAt;
 };
 
-/// Stand-in for a worker as the platform's pages describe it. Each task works as long as its command says: "ms=N".
+/// Stand-in for a worker as the platform's pages describe it. Each task works as long as its command says: "ms=N". A
+/// command with the word "ticket" belongs to a queue whose starts need one.
 /// The answers to starts and stops hold what PROTOCOL.md shows for them.
 class Worker {
 public:
@@ -62,6 +63,9 @@
     /// From now on it answers nothing, and all that runs there ends: its machine is lost for good.
     void goDark();
 
+    /// A ticket that allows the worker to run the step.
+    static std::string makeTicket(const std::string& step, const std::string& worker, Milliseconds validity);
+
     bool isUp() const;
     const std::string& id() const { return m_options.id; }
     std::vector<RunInterval> intervals() const;
