--- a/bench/workflow/SchedulerBench.cpp
+++ b/bench/workflow/SchedulerBench.cpp
@@ -22,6 +22,7 @@
 class NullObserver final : public SchedulerObserver {
     void onTasksPlaced(const StepRef&, size_t, size_t, Duration, Duration) override { }
     void onStopRequested(const RunRef&, const char*) override { }
+    void onRunMoved(const RunRef&, const WorkerIncarnation&, bool) override { }
     void onRunEnded(const RunRef&, const WorkerIncarnation&, RunOutcome) override { }
     void onWorkflowEnded(const WorkflowRecord&, Duration) override { }
 };
@@ -224,7 +225,7 @@
             spent([&] {
                 m_scheduler.onStartResponse(request,
                     { .status = WorkerRequestStatus::Done, .clock = m_now.time_since_epoch() / 1ms, .startTimeMs = 1 },
-                    m_now);
+                    m_now, m_now);
             });
         }
         for (const auto& request : output.requests.stops) {
@@ -237,7 +238,7 @@
             spent([&] {
                 m_scheduler.onStopResponse(request,
                     { .status = WorkerRequestStatus::Done, .clock = m_now.time_since_epoch() / 1ms, .startTimeMs = 1 },
-                    m_now);
+                    m_now, m_now);
             });
         }
         for (const auto& request : output.requests.polls) {
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -23,6 +23,7 @@
     , m_failed(m_metrics.counter("hickoryknot_workflows_failed_total", "Workflows that used up their attempts"))
     , m_placed(m_metrics.counter("hickoryknot_tasks_placed_total", "Starts recorded"))
     , m_stopped(m_metrics.counter("hickoryknot_runs_stopped_total", "Runs told to stop"))
+    , m_moved(m_metrics.counter("hickoryknot_runs_moved_total", "Runs that may be on a worker's next incarnation"))
     , m_ended(m_metrics.counter("hickoryknot_runs_not_done_total", "Runs that ended otherwise than done"))
     , m_permissionCalls(m_metrics.counter("hickoryknot_permission_calls_total", "Calls to the permission service"))
     , m_commitTime(m_metrics.latency("hickoryknot_commit_seconds", "From a submission to its record"))
@@ -78,6 +79,14 @@
         { { "task", describe(run.task) }, { "run", std::to_string(run.run) }, { "reason", reason } });
 }
 
+void DecisionLog::onRunMoved(const RunRef& run, const WorkerIncarnation& to, bool isStopped)
+{
+    m_metrics.add(m_moved);
+    writeEssential(Event::RunMoved, "a worker started again, and its new incarnation may have a run",
+        { { "task", describe(run.task) }, { "run", std::to_string(run.run) }, { "worker", to.worker.value() },
+            { "startedMs", std::to_string(to.startTimeMs) }, { "decidedBy", isStopped ? "stop" : "poll" } });
+}
+
 void DecisionLog::onRunEnded(const RunRef& run, const WorkerIncarnation& incarnation, RunOutcome end)
 {
     if (end == RunOutcome::Done)
@@ -85,7 +94,7 @@
     m_metrics.add(m_ended);
     writeEssential(Event::TaskEnded, "a run ended without completing",
         { { "task", describe(run.task) }, { "run", std::to_string(run.run) }, { "worker", incarnation.worker.value() },
-            { "how", runOutcomeName(end) } });
+            { "startedMs", std::to_string(incarnation.startTimeMs) }, { "how", runOutcomeName(end) } });
 }
 
 void DecisionLog::onWorkflowEnded(const WorkflowRecord& record, Duration age)
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -21,6 +21,7 @@
     void onTasksPlaced(
         const workflow::StepRef&, size_t tasks, size_t workers, Duration waitTime, Duration slack) override;
     void onStopRequested(const workflow::RunRef&, const char* reason) override;
+    void onRunMoved(const workflow::RunRef&, const workflow::WorkerIncarnation& to, bool isStopped) override;
     void onRunEnded(const workflow::RunRef&, const workflow::WorkerIncarnation&, workflow::RunOutcome) override;
     void onWorkflowEnded(const workflow::WorkflowRecord&, Duration age) override;
 
@@ -53,6 +54,7 @@
     CounterId m_failed;
     CounterId m_placed;
     CounterId m_stopped;
+    CounterId m_moved;
     CounterId m_ended;
     CounterId m_permissionCalls;
     LatencyId m_commitTime;
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -265,22 +265,23 @@
     for (auto& request : requests.stops) {
         const TimePoint sentAt = steadyNow();
         if (!isLeading()) {
-            m_scheduler.onStopResponse(request, { .status = WorkerRequestStatus::NotSent }, sentAt);
+            m_scheduler.onStopResponse(request, { .status = WorkerRequestStatus::NotSent }, sentAt, sentAt);
             continue;
         }
-        m_workers.stop(request, [this, alive = m_isAlive, request](const RunResponse& response) {
+        m_workers.stop(request, [this, alive = m_isAlive, request, sentAt](const RunResponse& response) {
             if (!*alive)
                 return;
-            m_scheduler.onStopResponse(request, response, steadyNow());
+            m_scheduler.onStopResponse(request, response, sentAt, steadyNow());
             scheduleCycle(batchDelay());
         });
     }
     for (auto& request : requests.starts) {
+        const TimePoint sentAt = steadyNow();
         if (!isLeading()) {
-            m_scheduler.onStartResponse(request, { .status = WorkerRequestStatus::NotSent }, steadyNow());
+            m_scheduler.onStartResponse(request, { .status = WorkerRequestStatus::NotSent }, sentAt, sentAt);
             continue;
         }
-        m_workers.start(request, [this, alive = m_isAlive, request](const RunResponse& response) {
+        m_workers.start(request, [this, alive = m_isAlive, request, sentAt](const RunResponse& response) {
             if (!*alive)
                 return;
             if (response.status != WorkerRequestStatus::Done)
@@ -288,7 +289,7 @@
                     { { "task", describe(request.run.task) }, { "run", std::to_string(request.run.run) },
                         { "worker", request.incarnation.worker.value() },
                         { "answer", workerRequestStatusName(response.status) } });
-            m_scheduler.onStartResponse(request, response, steadyNow());
+            m_scheduler.onStartResponse(request, response, sentAt, steadyNow());
             scheduleCycle(batchDelay());
         });
     }
@@ -343,6 +344,9 @@
     metrics.set(metrics.gauge("hickoryknot_leads", "1 while this host leads"), isLeading() ? 1 : 0);
     metrics.set(metrics.gauge("hickoryknot_runs_placed", "Runs that may occupy a worker"),
         static_cast<double>(m_scheduler.runController().size()));
+    metrics.set(metrics.gauge("hickoryknot_starts_unattributed",
+                    "Starts whose acknowledgement did not show which incarnation executed them"),
+        static_cast<double>(m_scheduler.runController().unattributedStarts()));
     metrics.set(metrics.gauge("hickoryknot_steps_ready", "Steps with tasks that wait for a worker"),
         static_cast<double>(m_scheduler.readyStepCount()));
     metrics.set(metrics.gauge("hickoryknot_log_index", "Last entry of the replicated log"),
--- a/src/core/Events.cpp
+++ b/src/core/Events.cpp
@@ -49,6 +49,7 @@
     { Event::TaskStopped, "TaskStopped", "a worker was told to stop a task" },
     { Event::PermissionAnswered, "PermissionAnswered", "the permission service said which workers may run a step" },
     { Event::OrderNotTaken, "OrderNotTaken", "a worker did not take a start or did not answer" },
+    { Event::RunMoved, "RunMoved", "a worker started again, and its new incarnation may have a run of the old one" },
     { Event::LeadershipTaken, "LeadershipTaken", "this host leads and has looked at everything that may run" },
     { Event::LeadershipEnded, "LeadershipEnded",
         "this host leads no longer; calls under way are not answered as done" },
--- a/src/core/Events.h
+++ b/src/core/Events.h
@@ -46,6 +46,7 @@
     TaskStopped = 413,
     PermissionAnswered = 414,
     OrderNotTaken = 415,
+    RunMoved = 416,
     LeadershipTaken = 420,
     LeadershipEnded = 421,
     WorkerJoined = 500,
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -18,11 +18,6 @@
 /// While a worker leaves calls unanswered, a start is retried for this long; then a poll must succeed first. Covers a
 /// broken connection, which the next attempt replaces.
 constexpr Duration startRetryWindow = 2s;
-/// A worker that ends when a long-running task has been there for longer is not taken to have crashed because of it:
-/// over weeks many workers end under a task that has no end of its own.
-constexpr Duration longRunningCrashWindow = 30s;
-/// Consecutive failed calls after which unsent runs are taken back from a worker.
-constexpr uint32_t unreachableAfterFailedCalls = 2;
 
 } // namespace
 
@@ -58,6 +53,7 @@
     m_orphans.clear();
     m_gangs.clear();
     m_ends.clear();
+    m_movedRuns.clear();
     m_startedWorkflows.clear();
 }
 
@@ -74,15 +70,6 @@
     return record ? m_state.findQueue(*record) : nullptr;
 }
 
-// The next incarnation's clock starts anew, so a late start there gets a full lease, whatever lease end it carries.
-void RunController::recordUnacknowledgedStart(TrackedRun& run, TimePoint now)
-{
-    run.hasUnacknowledgedStart = true;
-    const TimePoint until
-        = now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin;
-    run.unacknowledgedUntil = std::max(run.unacknowledgedUntil.value_or(until), until);
-}
-
 TrackedRun& RunController::add(const RunRef& ref, const WorkerIncarnation& incarnation, const StepSpec& spec)
 {
     TrackedRun& run = m_runs[ref];
@@ -200,7 +187,7 @@
 {
     if (run.phase == TrackedRun::Phase::Ended)
         return;
-    if (outcome == RunOutcome::NeverStarted)
+    if (outcome == RunOutcome::NeverStarted || outcome == RunOutcome::Lost)
         outcome = run.outcomeOfLostWorker.value_or(outcome);
     const bool isComplete = outcome == RunOutcome::Done || outcome == RunOutcome::Failed;
     if (checkpoint.empty() && !isComplete)
@@ -266,11 +253,12 @@
 
 std::optional<WorkerClockMs> RunController::extendLease(TrackedWorker& worker, TimePoint now)
 {
-    if (!worker.clock.isKnown())
+    const WorkerClock& clock = worker.lifetime.clock();
+    if (!clock.isKnown())
         return std::nullopt;
-    const WorkerClockMs until = worker.clock.lowerBound(now) + m_settings.maxLease / 1ms;
-    // Upper bound for every run started or renewed by this request, no matter which worker executes it and when.
-    worker.leaseEnd = std::max(worker.leaseEnd, worker.clock.latestTimeOf(until) + m_settings.leaseMargin);
+    const WorkerClockMs until = clock.lowerBound(now) + m_settings.maxLease / 1ms;
+    // Upper bound for every run that this incarnation starts or renews by this request, no matter when.
+    worker.leaseEnd = std::max(worker.leaseEnd, clock.latestTimeOf(until) + m_settings.leaseMargin);
     return until;
 }
 
@@ -318,19 +306,20 @@
         return;
     const bool hasOrphans = std::any_of(m_orphans.begin(), m_orphans.end(),
         [&](const auto& orphan) { return orphan.second.incarnation == incarnation; });
-    const bool needsFence = worker.isProfileKnown && !worker.hasConfirmedFence;
+    const bool needsResponse = worker.isInDoubt || (worker.isProfileKnown && !worker.hasConfirmedFence);
     const bool hasUnconfirmedEnds = worker.lastConfirmedEnd < worker.lastRecordedEnd;
     // A worker that did not respond gets no work until a poll succeeds.
     const bool isRetryDue
         = worker.consecutiveFailedCalls > 0 && now >= worker.backoffEnd && now - worker.lastContactAt < maxContactAge;
-    if (!hasRuns && !hasOrphans && !needsFence && !hasUnconfirmedEnds && !isRetryDue)
+    if (!hasRuns && !hasOrphans && !needsResponse && !hasUnconfirmedEnds && !isRetryDue)
         return;
     // Until the received ends are committed, another poll would return them again immediately.
     if (worker.lastRecordedEnd < worker.lastReceivedEnd)
         return;
     // The first poll and polls after a failure return immediately, because the running tasks must be known soon; so do
     // polls for the rest of a list of ends.
-    const bool mayWait = worker.hasConfirmedFence && !worker.consecutiveFailedCalls && !worker.hasMoreEnds && hasRuns;
+    const bool mayWait = worker.hasConfirmedFence && !worker.isInDoubt && !worker.consecutiveFailedCalls
+        && !worker.hasMoreEnds && hasRuns;
     // Each renewal that may still arrive postpones the time at which the runs count as lost. A worker that does not
     // respond therefore gets no renewals; otherwise its runs could never be started elsewhere.
     const bool isRenewing = hasRuns && !worker.consecutiveFailedCalls;
@@ -345,71 +334,6 @@
         .maxWait = mayWait ? m_settings.pollWait : Duration(0) });
 }
 
-// Only a worker that has come back shows that it had crashed; a silent one may be partitioned.
-RunOutcome RunController::outcomeOnLostWorker(const TrackedRun& run, const TrackedWorker& worker)
-{
-    const bool isAnnounced = worker.leavingSince || worker.profile.isDraining;
-    const bool hasRunForLong = run.spec.isLongRunning && worker.lastContactAt - run.startedAt > longRunningCrashWindow;
-    if (!worker.isSuperseded || isAnnounced || hasRunForLong)
-        return RunOutcome::Lost;
-    return run.wasSeenRunning ? RunOutcome::WorkerCrashed : RunOutcome::WorkerMayHaveCrashed;
-}
-
-// Ends the runs whose worker incarnation has ended or whose lease has expired, and unsent runs of unreachable workers.
-// A run with an unacknowledged start moves to the next incarnation; while none is known, it waits for one.
-void RunController::endLostRuns(
-    const WorkerIncarnation& incarnation, const TrackedWorker& worker, bool isIncarnationOver, TimePoint now)
-{
-    const bool isLeaseOver = now >= worker.leaseEnd;
-    const bool isUnreachable = worker.consecutiveFailedCalls >= unreachableAfterFailedCalls;
-    if (!isIncarnationOver && !isLeaseOver && !isUnreachable)
-        return;
-    TrackedWorker* next = m_workerTracker.current(incarnation.worker);
-    const bool hasNextIncarnation
-        = isIncarnationOver && next && next->incarnation().startTimeMs > incarnation.startTimeMs;
-    // Another worker took over the address and rejects requests for this one.
-    const bool isReplacedAtAddress = worker.isSuperseded && !hasNextIncarnation;
-    // A copy, because a run may move to the next incarnation.
-    const auto runs = m_runsByIncarnation.at(incarnation);
-    for (const auto& [ref, tracked] : runs) {
-        if (!tracked->maySend())
-            continue;
-        TrackedRun& run = *tracked;
-        // Unsent runs can be placed elsewhere immediately.
-        if (run.phase == TrackedRun::Phase::Unsent && (isIncarnationOver || isUnreachable))
-            finish(run, RunOutcome::NeverStarted, {}, now);
-        if (run.phase == TrackedRun::Phase::Unsent || run.phase == TrackedRun::Phase::Ended)
-            continue;
-        const RunOutcome outcome = run.outcomeOfLostWorker.value_or(outcomeOnLostWorker(run, worker));
-        const bool mayRunLater = !isReplacedAtAddress && run.mayRunOnNextIncarnation(now);
-        if (hasNextIncarnation && mayRunLater) {
-            run.outcomeOfLostWorker = outcome;
-            moveToNextIncarnation(run, *next, now);
-        } else if ((isIncarnationOver || isLeaseOver) && !mayRunLater) {
-            finish(run, outcome, {}, now);
-        }
-    }
-}
-
-// The next incarnation may execute a start that was sent to this one, now or later. A confirmed stop rules that out;
-// until then the run takes capacity there.
-void RunController::moveToNextIncarnation(TrackedRun& run, TrackedWorker& next, TimePoint now)
-{
-    releaseCapacity(run);
-    run.incarnation = next.incarnation();
-    allocateCapacity(run);
-    next.leaseEnd = std::max(next.leaseEnd,
-        now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin);
-    run.phase = TrackedRun::Phase::Stopping;
-    run.isStopRequested = true;
-    run.isInherited = run.isCallInFlight = false;
-    run.confirmedAt.reset();
-    run.nextAttemptAt = now;
-    m_unsettledRuns.insert(run.run);
-    if (run.isGang)
-        stopGang(run, now);
-}
-
 void RunController::advanceRun(TrackedRun& run, TimePoint now, Requests& requests)
 {
     if (!run.maySend() || run.isCallInFlight || now < run.nextAttemptAt)
@@ -474,6 +398,8 @@
 
 std::vector<EndRuns::Entry> RunController::drainEnds() { return std::exchange(m_ends, {}); }
 
+std::vector<RunController::MovedRun> RunController::drainMovedRuns() { return std::exchange(m_movedRuns, {}); }
+
 std::vector<WorkflowId> RunController::drainStartedWorkflows()
 {
     std::vector<WorkflowId> started(m_startedWorkflows.begin(), m_startedWorkflows.end());
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "workflow/MessageSender.h"
 #include "workflow/SchedulerSettings.h"
 #include "workflow/TrackedRun.h"
 #include "workflow/WorkerRequests.h"
@@ -45,9 +46,9 @@
     /// Stops a run that is no longer wanted.
     void requestStop(const RunRef&, TimePoint now);
 
-    /// Responses of workers. `sentAt` is a time before the poll was sent.
-    void onStartResponse(const StartRunRequest&, const RunResponse&, TimePoint now);
-    void onStopResponse(const StopRunRequest&, const RunResponse&, TimePoint now);
+    /// Responses of workers. `sentAt` is a time before the request was sent.
+    void onStartResponse(const StartRunRequest&, const RunResponse&, TimePoint sentAt, TimePoint now);
+    void onStopResponse(const StopRunRequest&, const RunResponse&, TimePoint sentAt, TimePoint now);
     void onPollResponse(const PollRequest&, const Expected<PollResponse>&, TimePoint sentAt, TimePoint now);
 
     /// The worker announced that this incarnation is shutting down.
@@ -74,6 +75,16 @@
     ReceivedEnds receivedEnds() const;
     void onEndsCommitted(const ReceivedEnds&);
 
+    struct MovedRun {
+        RunRef run;
+        WorkerIncarnation to;
+        bool isStopped { false };
+    };
+    /// Returns and clears the runs that may be on a later incarnation than before.
+    std::vector<MovedRun> drainMovedRuns();
+    /// Starts whose acknowledgement did not show, when it arrived, which incarnation executed them.
+    uint64_t unattributedStarts() const { return m_unattributedStarts; }
+
     const TrackedRun* find(const RunRef&) const;
     const std::map<RunRef, TrackedRun>& runs() const { return m_runs; }
     /// Runs that may occupy this incarnation.
@@ -109,6 +120,14 @@
     void stopGang(const TrackedRun&, TimePoint now);
     /// A start of the run that was sent by `now` stays without an acknowledgement.
     void recordUnacknowledgedStart(TrackedRun&, TimePoint now);
+    /// Evaluates who sent a response to a start or stop request for this incarnation.
+    MessageSender onRunResponse(const WorkerIncarnation&, const RunResponse&, TimePoint sentAt, TimePoint now);
+    /// The start was executed, by the addressed incarnation or a later one.
+    void onStartExecuted(TrackedRun&, MessageSender, TimePoint now);
+    /// True if nothing proves yet that the run is on its incarnation and not on a later one.
+    bool isUnattributed(const TrackedRun&, const TrackedWorker&) const;
+    /// True if the run may be on an incarnation after this one, or may still get there.
+    bool mayRunOnNextIncarnation(const TrackedRun&, const TrackedWorker&, TimePoint now) const;
     void moveToNextIncarnation(TrackedRun&, TrackedWorker& next, TimePoint now);
     void checkGangs(TimePoint now);
     void advanceRun(TrackedRun&, TimePoint now, Requests&);
@@ -118,7 +137,7 @@
     void endLostRuns(const WorkerIncarnation&, const TrackedWorker&, bool isIncarnationOver, TimePoint now);
     void handleReportedRuns(TrackedWorker&, const PollResponse&, TimePoint sentAt, TimePoint now);
     void evaluateUnreportedRuns(TrackedWorker&, const std::set<RunRef>& reported, TimePoint sentAt, TimePoint now);
-    void onWorkerContact(TrackedWorker&, std::optional<WorkerClockMs>, TimePoint now);
+    void onWorkerContact(TrackedWorker&, TimePoint now);
     void onCallFailure(TrackedWorker&, TimePoint now);
     std::optional<WorkerClockMs> extendLease(TrackedWorker&, TimePoint now);
     const StepSpec* findSpec(const RunRef&) const;
@@ -136,6 +155,8 @@
     std::map<GangKey, Gang> m_gangs;
     std::vector<EndRuns::Entry> m_ends;
     std::set<WorkflowId> m_startedWorkflows;
+    std::vector<MovedRun> m_movedRuns;
+    uint64_t m_unattributedStarts { 0 };
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -13,13 +13,11 @@
 
 } // namespace
 
-void RunController::onWorkerContact(TrackedWorker& worker, std::optional<WorkerClockMs> clock, TimePoint now)
+void RunController::onWorkerContact(TrackedWorker& worker, TimePoint now)
 {
     worker.lastContactAt = std::max(worker.lastContactAt, now);
     worker.consecutiveFailedCalls = 0;
     worker.pendingStartSince.reset();
-    if (clock)
-        worker.clock.update(*clock, now);
 }
 
 void RunController::onCallFailure(TrackedWorker& worker, TimePoint now)
@@ -31,39 +29,21 @@
     worker.backoffEnd = now + backoff;
 }
 
-void RunController::onStartResponse(const StartRunRequest& request, const RunResponse& response, TimePoint now)
+void RunController::onStartResponse(
+    const StartRunRequest& request, const RunResponse& response, TimePoint sentAt, TimePoint now)
 {
+    const MessageSender sender = onRunResponse(request.incarnation, response, sentAt, now);
     const auto found = m_runs.find(request.run);
-    TrackedWorker* worker = m_workerTracker.find(request.incarnation);
-    const bool isOtherIncarnation = response.startTimeMs && *response.startTimeMs != request.incarnation.startTimeMs;
-    if (isOtherIncarnation)
-        m_workerTracker.markSuperseded(request.incarnation, *response.startTimeMs, now);
-    const bool isCallFailed
-        = response.status == WorkerRequestStatus::NoResponse || response.status == WorkerRequestStatus::NotSent;
-    if (worker && isCallFailed)
-        onCallFailure(*worker, now);
-    else if (worker && !isOtherIncarnation)
-        onWorkerContact(*worker, response.clock, now);
     if (found == m_runs.end() || found->second.incarnation != request.incarnation)
         return;
     TrackedRun& run = found->second;
     run.isCallInFlight = false;
-    // A later incarnation executed the start; the next advance() moves the run there.
-    if (isOtherIncarnation && response.status == WorkerRequestStatus::Done) {
-        recordUnacknowledgedStart(run, now);
-        return;
-    }
     if (run.phase == TrackedRun::Phase::Ended)
         return;
     switch (response.status) {
     case WorkerRequestStatus::Done:
-        // Several unacknowledged retries of one start still result in one run.
-        run.hasUnacknowledgedStart = false;
-        confirm(run, now);
-        break;
-    case WorkerRequestStatus::Outdated:
-        // The run existed and has ended; the next poll reports the outcome.
-        confirm(run, now);
+    case WorkerRequestStatus::Outdated: // The run existed and has ended; the next poll reports the outcome.
+        onStartExecuted(run, sender, now);
         break;
     case WorkerRequestStatus::NoResponse:
         recordUnacknowledgedStart(run, now);
@@ -79,7 +59,7 @@
         run.nextAttemptAt = now + m_settings.retryDelay;
         break;
     case WorkerRequestStatus::Unhealthy:
-        if (worker)
+        if (TrackedWorker* worker = m_workerTracker.find(request.incarnation))
             onCallFailure(*worker, now);
         [[fallthrough]];
     case WorkerRequestStatus::LeaseExpired:
@@ -93,18 +73,11 @@
     }
 }
 
-void RunController::onStopResponse(const StopRunRequest& request, const RunResponse& response, TimePoint now)
+void RunController::onStopResponse(
+    const StopRunRequest& request, const RunResponse& response, TimePoint sentAt, TimePoint now)
 {
-    const bool isOtherIncarnation = response.startTimeMs && *response.startTimeMs != request.incarnation.startTimeMs;
-    if (isOtherIncarnation)
-        m_workerTracker.markSuperseded(request.incarnation, *response.startTimeMs, now);
-    if (TrackedWorker* worker = m_workerTracker.find(request.incarnation)) {
-        if (response.status == WorkerRequestStatus::NoResponse || response.status == WorkerRequestStatus::NotSent)
-            onCallFailure(*worker, now);
-        else if (!isOtherIncarnation)
-            onWorkerContact(*worker, response.clock, now);
-    }
-    const bool isConfirmed = !isOtherIncarnation
+    const MessageSender sender = onRunResponse(request.incarnation, response, sentAt, now);
+    const bool isConfirmed = sender != MessageSender::Other
         && (response.status == WorkerRequestStatus::Done || response.status == WorkerRequestStatus::Outdated);
     const auto orphan = m_orphans.find(request.run);
     if (orphan != m_orphans.end() && orphan->second.incarnation == request.incarnation) {
@@ -132,19 +105,23 @@
     if (!worker)
         return;
     worker->isPollInFlight = false;
-    const bool isOtherIncarnation
-        = response && response->startTimeMs && *response->startTimeMs != request.incarnation.startTimeMs;
-    if (!response || isOtherIncarnation) {
+    const bool isNamed = response && response->startTimeMs;
+    const bool isNamedOther = isNamed && *response->startTimeMs != request.incarnation.startTimeMs;
+    const bool isOther = isNamedOther
+        || (response && !isNamed && worker->lifetime.senderOf(response->clock, sentAt, now) == MessageSender::Other);
+    if (!response || isOther) {
         // Further polls would confirm end numbers of this incarnation to the other one, which would then drop its own
         // ends.
-        if (isOtherIncarnation)
+        if (isNamedOther)
             m_workerTracker.markSuperseded(request.incarnation, *response->startTimeMs, now);
         if (!response && response.error().code != ErrorCode::Conflict)
             onCallFailure(*worker, now);
         worker->nextPollAt = std::max(now + m_settings.retryDelay, worker->backoffEnd);
         return;
     }
-    onWorkerContact(*worker, response->clock, now);
+    onWorkerContact(*worker, now);
+    worker->lifetime.addResponse(response->clock, sentAt, now);
+    worker->isInDoubt = false;
     worker->hasConfirmedFence = true;
     // The worker responded after it announced its shutdown, so it is still running.
     if (worker->leavingSince && sentAt > *worker->leavingSince)
@@ -168,6 +145,8 @@
             continue;
         }
         TrackedRun& run = found->second;
+        run.unattributedSince.reset();
+        run.outcomeOfLostWorker.reset();
         confirm(run, now);
         if (run.percent != item.percent)
             run.lastProgressAt = now;
--- a/src/workflow/SchedulerObserver.h
+++ b/src/workflow/SchedulerObserver.h
@@ -19,6 +19,9 @@
     virtual void onTasksPlaced(const StepRef&, size_t tasks, size_t workers, Duration waited, Duration slack) = 0;
     /// An unfinished run is stopped, because of preemption or because it is no longer wanted.
     virtual void onStopRequested(const RunRef&, const char* reason) = 0;
+    /// A worker started again, and its new incarnation may have the run. It is stopped there unless the start was
+    /// acknowledged, in which case the incarnation's list of runs decides.
+    virtual void onRunMoved(const RunRef&, const WorkerIncarnation& to, bool isStopped) = 0;
     virtual void onRunEnded(const RunRef&, const WorkerIncarnation&, RunOutcome) = 0;
     /// A workflow has reached its final state, `age` after its acceptance.
     virtual void onWorkflowEnded(const WorkflowRecord&, Duration age) = 0;
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -32,8 +32,8 @@
     uint32_t priority { 0 }; // Priority of the queue; higher numbers are preempted first.
     bool isInherited { false }; // Placed by an earlier leader and not yet reported to this one.
     bool wasSeenRunning { false }; // The worker acknowledged the start or listed the run.
-    /// Set while the run is being stopped on a later incarnation than the one that it was sent to: its outcome unless
-    /// it has run there.
+    /// Set while it is not known whether the run is on a later incarnation than the one that it was sent to: its
+    /// outcome unless it is, or was, there.
     std::optional<RunOutcome> outcomeOfLostWorker;
     bool hasUnacknowledgedStart { false }; // A start is unacknowledged and may still be executed.
     /// Longest delay after which a worker executes a start of this run; at most the validity of its permission token.
@@ -42,6 +42,8 @@
     /// granted to the next incarnation, so until this time the run may occupy the addressed incarnation or any later
     /// one.
     std::optional<TimePoint> unacknowledgedUntil;
+    /// When a start was acknowledged by a response that may have come from a later incarnation than the addressed one.
+    std::optional<TimePoint> unattributedSince;
     bool isCallInFlight { false };
     bool isStopRequested { false };
     std::string permissionToken;
@@ -57,8 +59,9 @@
     TimePoint lastProgressAt; // When `percent` last changed.
     StepSpec spec; // Copy of the step, which outlives the workflow's record.
 
-    /// Only a confirmed stop or the time excludes a run on a later incarnation of its worker.
-    bool mayRunOnNextIncarnation(TimePoint now) const
+    /// A start without an acknowledgement may be executed now or later, by any incarnation from the addressed one on.
+    /// Only a confirmed stop or the time excludes it.
+    bool mayStartLate(TimePoint now) const
     {
         return isCallInFlight || (unacknowledgedUntil && now < *unacknowledgedUntil);
     }
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "core/Resources.h"
-#include "workflow/WorkerClock.h"
+#include "workflow/IncarnationLifetime.h"
 #include "workflow/WorkerProfile.h"
 #include "workflow/WorkflowIds.h"
 
@@ -20,7 +20,9 @@
     bool isSuperseded { false };
     bool isProfileKnown { false }; // If false, this incarnation is known only from recorded runs.
     uint64_t sequence { 0 };
-    WorkerClock clock;
+    IncarnationLifetime lifetime;
+    /// Another incarnation seems to respond in place of this one; a poll will tell.
+    bool isInDoubt { false };
     TimePoint lastContactAt;
     /// When this leader received the profile, and the worker's clock when it was sent. Missing for recorded profiles.
     std::optional<TimePoint> profileReceivedAt;
--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -79,8 +79,7 @@
     worker.lastContactAt = now;
     worker.profileReceivedAt = now;
     worker.profileClock = report.clock;
-    if (report.clock)
-        worker.clock.update(*report.clock, now);
+    worker.lifetime.addReport(report.clock, now);
     return isChanged ? ReportResult::Changed : ReportResult::Unchanged;
 }
 
@@ -151,8 +150,9 @@
         return false;
     Duration age = now - *worker.profileReceivedAt;
     // A partition may have delayed the report for seconds; the clock in later responses shows it.
-    if (worker.profileClock && worker.clock.isKnown())
-        age = std::max(age, (worker.clock.lowerBound(now) - *worker.profileClock) * Duration(1ms));
+    const WorkerClock& clock = worker.lifetime.clock();
+    if (worker.profileClock && clock.isKnown())
+        age = std::max(age, (clock.lowerBound(now) - *worker.profileClock) * Duration(1ms));
     return age < m_settings.maxProfileAge;
 }
 
@@ -165,8 +165,8 @@
 
 bool WorkerTracker::isReadyForWork(const TrackedWorker& worker, TimePoint now) const
 {
-    return isPresent(worker, now) && isProfileCurrent(worker, now) && worker.clock.isKnown() && worker.hasConfirmedFence
-        && !worker.hasInheritedRuns
+    return isPresent(worker, now) && isProfileCurrent(worker, now) && worker.lifetime.clock().isKnown()
+        && worker.hasConfirmedFence && !worker.hasInheritedRuns && !worker.isInDoubt
         && (!worker.pendingStartSince || now - *worker.pendingStartSince < m_settings.startResponseTimeout);
 }
 
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -183,20 +183,22 @@
         m_runController.onWorkerLeaving(worker->incarnation(), now);
 }
 
-void WorkflowScheduler::onStartResponse(const StartRunRequest& request, const RunResponse& response, TimePoint now)
+void WorkflowScheduler::onStartResponse(
+    const StartRunRequest& request, const RunResponse& response, TimePoint sentAt, TimePoint now)
 {
     if (!m_isLeader || request.fence != m_fence)
         return;
-    m_runController.onStartResponse(request, response, now);
+    m_runController.onStartResponse(request, response, sentAt, now);
     const TrackedWorker* worker = m_workerTracker.find(request.incarnation);
     if (worker && response.status == WorkerRequestStatus::NoPermission)
         m_permissionTracker.onTokenRejected(request.run.task.step, *worker);
 }
 
-void WorkflowScheduler::onStopResponse(const StopRunRequest& request, const RunResponse& response, TimePoint now)
+void WorkflowScheduler::onStopResponse(
+    const StopRunRequest& request, const RunResponse& response, TimePoint sentAt, TimePoint now)
 {
     if (m_isLeader && request.fence == m_fence)
-        m_runController.onStopResponse(request, response, now);
+        m_runController.onStopResponse(request, response, sentAt, now);
 }
 
 void WorkflowScheduler::onPollResponse(
@@ -221,6 +223,8 @@
     m_earlyCancellations.advance(now);
     refreshChangedWorkflows(now, wall);
     m_runController.advance(now, output.requests);
+    for (const auto& moved : m_runController.drainMovedRuns())
+        m_observer.onRunMoved(moved.run, moved.to, moved.isStopped);
 
     Batch batch;
     EndRuns ends { .entries = m_runController.drainEnds() };
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -39,8 +39,8 @@
     /// that the report must be another writer's. Unavailable: there is no queue table yet to tell.
     Expected<void> onWorkerReport(const WorkerReport&, TimePoint now);
     void onWorkerLeaving(const WorkerId&, TimePoint now);
-    void onStartResponse(const StartRunRequest&, const RunResponse&, TimePoint now);
-    void onStopResponse(const StopRunRequest&, const RunResponse&, TimePoint now);
+    void onStartResponse(const StartRunRequest&, const RunResponse&, TimePoint sentAt, TimePoint now);
+    void onStopResponse(const StopRunRequest&, const RunResponse&, TimePoint sentAt, TimePoint now);
     void onPollResponse(const PollRequest&, const Expected<PollResponse>&, TimePoint sentAt, TimePoint now);
     void onPermissionResponse(const PermissionRequest&, const Expected<PermissionResponse>&, TimePoint now);
 
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -38,6 +38,7 @@
 {
     for (int i = 0; i < 3; ++i)
         m_hosts.push_back(std::make_unique<Host>(m_settings, *m_observer));
+    const bool namesIncarnation = m_random() % 2 == 0;
     for (size_t i = 0; i < workerCount; ++i) {
         auto profile = samples::profile(("w" + std::to_string(i)).c_str(), 1, 4000);
         // Up to 2% slow, the maximum for the platform's workers.
@@ -48,6 +49,7 @@
         }));
         // Few, so that most lists of ends are cut short.
         m_workers.back()->setMaxListedEnds(2);
+        m_workers.back()->setNamesIncarnation(namesIncarnation);
     }
     m_log.push_back(encodeCommands({ ReplaceTable { samples::table(1) } }));
     elect(0);
@@ -126,7 +128,9 @@
         reportViolation("task " + describe(run.task) + " is started again and again and crashes its workers");
 }
 
-void ClusterSimulation::crashWorker(SimulatedWorker& worker)
+Duration ClusterSimulation::restartTime() { return 200ms + Duration(m_random() % 1'300'000); }
+
+void ClusterSimulation::crashWorker(SimulatedWorker& worker, Duration downTime)
 {
     for (const auto& [task, run] : worker.runs()) {
         ++m_crashes[task];
@@ -135,7 +139,17 @@
     // Nobody can tell these from runs that were still there.
     for (const auto& end : worker.unconfirmedEnds())
         ++m_lostRuns[end.run.task];
-    worker.restart(m_now);
+    worker.restart(m_now + downTime);
+    auto& link = m_links[worker.profile().incarnation.worker];
+    link.downUntil = m_now + downTime;
+    link.isRefusing = chance(0.5);
+    if (!chance(0.3))
+        return;
+    // Cut off soon after it is back, often before its first report.
+    schedule(downTime + Duration(m_random() % 2'000'000), [this, &link] {
+        if (!m_areFaultsStopped)
+            link.partitionedUntil = std::max(link.partitionedUntil, m_now + Duration(m_random() % 9'000'000));
+    });
 }
 
 void ClusterSimulation::crashUnderDeadlyTasks()
@@ -148,10 +162,7 @@
         });
         if (!isCrashing)
             continue;
-        crashWorker(*worker);
-        // The worker is back after some seconds.
-        auto& link = m_links[worker->profile().incarnation.worker];
-        link.partitionedUntil = std::max(link.partitionedUntil, m_now + Duration(m_random() % 4'000'000));
+        crashWorker(*worker, Duration(m_random() % 4'000'000));
     }
 }
 
@@ -190,7 +201,7 @@
 {
     m_areFaultsStopped = true;
     for (auto& [id, link] : m_links)
-        link = {};
+        link.partitionedUntil = link.responsesLostUntil = {};
     // All work must be able to finish.
     for (auto& worker : m_workers)
         worker->setCapacity(samples::profile("w").capacity);
@@ -232,8 +243,8 @@
             link.partitionedUntil = m_now + span;
         if (chance(0.0004))
             link.responsesLostUntil = m_now + span;
-        if (chance(0.0003))
-            crashWorker(*worker);
+        if (chance(0.0003) && m_now >= link.downUntil)
+            crashWorker(*worker, restartTime());
     }
 }
 
@@ -287,14 +298,16 @@
             handle(value);
     };
     schedule(500ms, [respond, lost] { respond(lost); });
-    const auto& link = m_links[request.incarnation.worker];
-    if (m_now < link.partitionedUntil || (!m_areFaultsStopped && chance(0.01)))
+    if (m_now < m_links[request.incarnation.worker].partitionedUntil || (!m_areFaultsStopped && chance(0.01)))
         return;
     // Some requests get no response and are executed seconds later.
     const bool isLate = !m_areFaultsStopped && chance(0.03);
-    schedule(delay(), [this, request, call, respond, isLate] {
+    schedule(delay(), [this, request, call, respond, lost, isLate] {
         SimulatedWorker* worker = findWorker(request.incarnation);
-        if (!worker)
+        const auto& link = m_links[request.incarnation.worker];
+        if (m_now < link.downUntil && link.isRefusing)
+            respond(lost);
+        if (!worker || m_now < link.downUntil)
             return;
         // Requests name the worker and not its incarnation, so a later incarnation may receive one in transit. A
         // request that was received is dropped with its incarnation.
@@ -326,14 +339,13 @@
         commit(std::move(commands), output.batch);
     auto& scheduler = host.scheduler;
     for (const auto& request : output.requests.starts)
-        send(
-            request, &SimulatedWorker::start, RunResponse {}, [this, &scheduler, request](const RunResponse& response) {
-                scheduler.onStartResponse(request, response, m_now);
-            });
+        send(request, &SimulatedWorker::start, RunResponse {},
+            [this, &scheduler, request, sentAt = m_now](
+                const RunResponse& response) { scheduler.onStartResponse(request, response, sentAt, m_now); });
     for (const auto& request : output.requests.stops)
-        send(request, &SimulatedWorker::stop, RunResponse {}, [this, &scheduler, request](const RunResponse& response) {
-            scheduler.onStopResponse(request, response, m_now);
-        });
+        send(request, &SimulatedWorker::stop, RunResponse {},
+            [this, &scheduler, request, sentAt = m_now](
+                const RunResponse& response) { scheduler.onStopResponse(request, response, sentAt, m_now); });
     for (const auto& request : output.requests.polls)
         send(request, &SimulatedWorker::poll, Expected<PollResponse>(makeError(ErrorCode::Timeout, "no response")),
             [this, &scheduler, request, sentAt = m_now](const Expected<PollResponse>& response) {
@@ -347,7 +359,7 @@
         const auto id = worker->profile().incarnation.worker;
         if ((m_now.time_since_epoch() + std::hash<std::string>()(id.value()) % 1000 * 1ms) % reportPeriod >= stepTime)
             continue;
-        if (m_now < m_links[id].partitionedUntil)
+        if (m_now < m_links[id].partitionedUntil || m_now < m_links[id].downUntil)
             continue;
         WorkerReport report {
             .profile = worker->profile(), .sequence = ++m_sequences[id], .clock = worker->clock(m_now)
@@ -402,6 +414,9 @@
         Resources used;
         std::map<StepRef, uint32_t> perStep;
         bool hasNewRun = false;
+        for (const auto& task : worker->drainDoubleStarts())
+            reportViolation(
+                "task " + describe(task) + " runs twice on " + worker->profile().incarnation.worker.value());
         for (const auto& [task, run] : worker->runs()) {
             used += run.spec.perTask;
             ++perStep[task.step];
@@ -436,6 +451,14 @@
     }
 }
 
+uint64_t ClusterSimulation::unattributedStarts() const
+{
+    uint64_t sum = 0;
+    for (const auto& host : m_hosts)
+        sum += host->scheduler.runController().unattributedStarts();
+    return sum;
+}
+
 std::string ClusterSimulation::unfinishedWorkflows() const
 {
     std::string text;
--- a/tests/workflow/ClusterSimulation.h
+++ b/tests/workflow/ClusterSimulation.h
@@ -31,10 +31,14 @@
     /// Explanations of all workflows without a final state.
     std::string unfinishedWorkflows() const;
     size_t startedRuns() const { return m_started; }
+    /// Starts whose acknowledgement did not show which incarnation executed them.
+    uint64_t unattributedStarts() const;
 
 private:
     struct Host;
     struct Link {
+        TimePoint downUntil; // The worker restarts; what arrives meanwhile is lost.
+        bool isRefusing { false }; // While it is down, calls fail at once instead of by timeout.
         TimePoint partitionedUntil; // No messages pass.
         TimePoint responsesLostUntil; // Requests pass, responses do not.
     };
@@ -60,7 +64,9 @@
     void reportWorkers();
     void advanceWorkers();
     void recordEnds(SimulatedWorker&);
-    void crashWorker(SimulatedWorker&);
+    /// The worker is back under its id after `downTime`.
+    void crashWorker(SimulatedWorker&, Duration downTime);
+    Duration restartTime();
     void crashUnderDeadlyTasks();
     void recordStart(const RunRef&);
     void changeCapacities();
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -105,7 +105,7 @@
                                             .command = {},
                                             .checkpoint = {},
                                             .permissionToken = {} },
-            { .status = WorkerRequestStatus::Done, .clock = 1000, .startTimeMs = 1 }, m_now);
+            { .status = WorkerRequestStatus::Done, .clock = 1000, .startTimeMs = 1 }, m_now, m_now);
     }
 
     // Places a task with an estimated run time of 1 s that cannot be preempted.
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -25,6 +25,12 @@
     CPPUNIT_TEST(endAfterAnAnnouncedShutdownIsNoCrash);
     CPPUNIT_TEST(unacknowledgedStartIsStoppedOnTheNextIncarnation);
     CPPUNIT_TEST(startExecutedByTheNextIncarnationKeepsItsCapacity);
+    CPPUNIT_TEST(startTakenByAnUnknownIncarnationStaysThere);
+    CPPUNIT_TEST(unattributedRunThatIsNotOnTheNextIncarnationIsLost);
+    CPPUNIT_TEST(startOfAKnownIncarnationIsLostWithIt);
+    CPPUNIT_TEST(laterPollAttributesAStart);
+    CPPUNIT_TEST(workerInDoubtIsPolledBeforeItGetsMoreWork);
+    CPPUNIT_TEST(unattributedRunOutlivesTheLeaseOfASilentWorker);
     CPPUNIT_TEST(endOnTheNextIncarnationCounts);
     CPPUNIT_TEST(pollsStopAfterAResponseOfAnotherIncarnation);
     CPPUNIT_TEST(startWithPermissionIsStoppedOnTheNextIncarnation);
@@ -108,8 +114,8 @@
 
     void respond(const StartRunRequest& request, WorkerRequestStatus status)
     {
-        m_runController.onStartResponse(
-            request, { .status = status, .clock = m_clock, .startTimeMs = request.incarnation.startTimeMs }, m_now);
+        m_runController.onStartResponse(request,
+            { .status = status, .clock = m_clock, .startTimeMs = request.incarnation.startTimeMs }, m_now, m_now);
     }
 
     void poll(const PollRequest& request, TimePoint sentAt, std::vector<ReportedRun> running,
@@ -241,7 +247,7 @@
         const auto stops = advance().stops;
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
         m_runController.onStopResponse(
-            stops.front(), { .status = WorkerRequestStatus::Done, .clock = m_clock, .startTimeMs = 1 }, m_now);
+            stops.front(), { .status = WorkerRequestStatus::Done, .clock = m_clock, .startTimeMs = 1 }, m_now, m_now);
         m_now += 1ms;
         poll(m_poll, m_now, {});
         const auto ends = m_runController.drainEnds();
@@ -443,7 +449,7 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
         poll(requests.polls[0], m_now, {});
         m_runController.onStopResponse(
-            requests.stops[0], { .status = WorkerRequestStatus::Done, .clock = 1, .startTimeMs = 2 }, m_now);
+            requests.stops[0], { .status = WorkerRequestStatus::Done, .clock = 1, .startTimeMs = 2 }, m_now, m_now);
         CPPUNIT_ASSERT(m_runController.drainEnds().empty());
         // Once the next incarnation has confirmed the stop it rejects the start, and a later poll shows that the run is
         // not there.
@@ -463,12 +469,162 @@
         place(m_run);
         const auto request = start();
         m_runController.onStartResponse(
-            request, { .status = WorkerRequestStatus::Done, .clock = 1, .startTimeMs = 2 }, m_now);
+            request, { .status = WorkerRequestStatus::Done, .clock = 1, .startTimeMs = 2 }, m_now, m_now);
+        m_now += 1ms;
         const auto requests = advance();
         CPPUNIT_ASSERT(m_runController.drainEnds().empty());
-        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.stops.size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, usedMillicores());
         CPPUNIT_ASSERT_EQUAL(
             int64_t { 1000 }, m_workerTracker.find(samples::incarnation("w", 2))->used.millicores.count());
+        // The run goes on there instead of being stopped and started anew.
+        CPPUNIT_ASSERT(requests.stops.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, requests.polls[0].incarnation.startTimeMs);
+        poll(requests.polls[0], m_now, { { .run = m_run, .checkpoint = {} } });
+        CPPUNIT_ASSERT(advance().stops.empty());
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(
+            int64_t { 1000 }, m_workerTracker.find(samples::incarnation("w", 2))->used.millicores.count());
+    }
+
+    // Runs a worker for `age` with a poll at its start and at its end, and places a run there.
+    void beginOnWorkerOfAge(Duration age)
+    {
+        begin();
+        respondToPoll(advance().polls.at(0), {});
+        m_now += age;
+        report("w");
+        place(m_run);
+    }
+
+    // The clock that an incarnation shows now if it started, with the clock at zero, at `startedAt`.
+    WorkerClockMs clockSince(TimePoint startedAt) const { return (m_now - startedAt) / 1ms; }
+    TimePoint firstStart() const { return TimePoint(100s) - m_clock * Duration(1ms); }
+
+    void respondToPoll(
+        const PollRequest& request, std::vector<ReportedRun> running, std::vector<ReportedEnd> ended = {})
+    {
+        const TimePoint sentAt = m_now;
+        m_now += 2ms;
+        m_runController.onPollResponse(request,
+            PollResponse { .clock = clockSince(firstStart()),
+                .startTimeMs = request.incarnation.startTimeMs,
+                .running = std::move(running),
+                .ended = std::move(ended) },
+            sentAt, m_now);
+    }
+
+    // Responds as the platform's workers do, without naming the incarnation.
+    void acknowledge(const StartRunRequest& request, TimePoint incarnationStartedAt)
+    {
+        const TimePoint sentAt = m_now;
+        m_now += 2ms;
+        m_runController.onStartResponse(
+            request, { .status = WorkerRequestStatus::Done, .clock = clockSince(incarnationStartedAt) }, sentAt, m_now);
+    }
+
+    // Guards against two runs of one task: an idle worker started again, executed a start that was meant for the
+    // incarnation before, and its response did not say so. The run counted as lost with that one. review/6.
+    void startTakenByAnUnknownIncarnationStaysThere()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), m_now - 50ms);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, m_runController.unattributedStarts());
+        report("w", 2);
+        const auto requests = advance();
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT(requests.stops.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, requests.polls[0].incarnation.startTimeMs);
+        respondToPoll(requests.polls[0], {}, { done(1, m_run) });
+        const auto ends = m_runController.drainEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(RunOutcome::Done == ends[0].outcome);
+    }
+
+    // Guards against a task that waits for a run which its worker took along when it crashed.
+    void unattributedRunThatIsNotOnTheNextIncarnationIsLost()
+    {
+        beginOnWorkerOfAge(0s);
+        // A worker that has only just been seen cannot be told from its next incarnation.
+        acknowledge(start(), firstStart());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, m_runController.unattributedStarts());
+        m_now += 1ms;
+        report("w", 2);
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        respondToPoll(polls[0], {});
+        const auto ends = m_runController.drainEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == ends[0].outcome);
+    }
+
+    // Guards against tasks that wait for a poll of the next incarnation although the clock in the response, or a later
+    // message, shows that the incarnation that crashed had executed the start.
+    void startOfAKnownIncarnationIsLostWithIt()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, m_runController.unattributedStarts());
+        report("w", 2);
+        advance();
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
+    }
+
+    void laterPollAttributesAStart()
+    {
+        beginOnWorkerOfAge(0s);
+        const auto request = start();
+        acknowledge(request, firstStart());
+        m_now += 1ms;
+        respondToPoll(m_poll, { { .run = m_run, .checkpoint = {} } });
+        report("w", 2);
+        advance();
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
+    }
+
+    // Guards against more work for a worker whose responses come from another incarnation than the known one.
+    void workerInDoubtIsPolledBeforeItGetsMoreWork()
+    {
+        beginOnWorkerOfAge(10s);
+        const TrackedWorker& worker = *m_workerTracker.find(samples::incarnation("w"));
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(worker, m_now));
+        acknowledge(start(), m_now - 50ms);
+        CPPUNIT_ASSERT(!m_workerTracker.isUsable(worker, m_now));
+        // The poll that went out with the start fails; the next one does not wait for an end.
+        m_runController.onPollResponse(m_poll, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
+        m_now += 1s;
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(Duration(0) == polls[0].maxWait);
+        respondToPoll(polls[0], { { .run = m_run, .checkpoint = {} } });
+        report("w");
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(worker, m_now));
+    }
+
+    // Guards against two runs of one task: the next incarnation executed the start and was cut off before anybody heard
+    // of it, so the run ends with a lease that began with the start, not with the one of the known incarnation.
+    void unattributedRunOutlivesTheLeaseOfASilentWorker()
+    {
+        beginOnWorkerOfAge(10s);
+        const auto request = start();
+        m_now += 400ms;
+        acknowledge(request, m_now - 50ms);
+        const TimePoint executedAt = m_now;
+        m_runController.onPollResponse(m_poll, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
+        const Duration lease = WorkerClock::maxRealTime(m_settings.maxLease);
+        std::vector<EndRuns::Entry> ends;
+        for (; m_now < executedAt + 60s && ends.empty(); m_now += 100ms) {
+            for (const auto& poll : advance().polls)
+                m_runController.onPollResponse(poll, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
+            ends = m_runController.drainEnds();
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(RunOutcome::Lost == ends[0].outcome);
+        // The poll that got no response may have renewed the lease just before its end.
+        CPPUNIT_ASSERT(m_now - executedAt >= 2 * lease);
+        CPPUNIT_ASSERT(m_now - executedAt <= 2 * lease + m_settings.leaseMargin + 300ms);
     }
 
     // Guards against a task that runs again after it was done: the next incarnation executed the start, and its end was
@@ -677,7 +833,7 @@
         const auto stops = advance().stops;
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
         m_runController.onStopResponse(
-            stops[0], { .status = WorkerRequestStatus::Outdated, .clock = m_clock, .startTimeMs = 2 }, m_now);
+            stops[0], { .status = WorkerRequestStatus::Outdated, .clock = m_clock, .startTimeMs = 2 }, m_now, m_now);
         m_now += 1ms;
         PollRequest request { .incarnation = samples::incarnation("w", 2), .fence = 7 };
         pollWithMoreEnds(request, { done(1, samples::run(samples::secondId, 0, 0)) });
--- a/tests/workflow/SimulatedWorker.cpp
+++ b/tests/workflow/SimulatedWorker.cpp
@@ -41,6 +41,14 @@
     m_leaseEnd = std::max(m_leaseEnd, std::min(until, clock(now) + maxLeaseMs));
 }
 
+RunResponse SimulatedWorker::respond(WorkerRequestStatus status, TimePoint now) const
+{
+    RunResponse response { .status = status, .clock = clock(now) };
+    if (m_namesIncarnation)
+        response.startTimeMs = m_profile.incarnation.startTimeMs;
+    return response;
+}
+
 void SimulatedWorker::checkLease(TimePoint now)
 {
     if (clock(now) < m_leaseEnd)
@@ -56,27 +64,22 @@
 RunResponse SimulatedWorker::start(const StartRunRequest& request, TimePoint now)
 {
     checkLease(now);
-    RunResponse response {
-        .status = WorkerRequestStatus::Done, .clock = clock(now), .startTimeMs = m_profile.incarnation.startTimeMs
-    };
-    if (request.fence < m_fence) {
-        response.status = WorkerRequestStatus::Fenced;
-        return response;
-    }
+    if (request.fence < m_fence)
+        return respond(WorkerRequestStatus::Fenced, now);
     m_fence = request.fence;
     const auto present = m_runs.find(request.run.task);
     const auto ended = m_highestEnded.find(request.run.task);
     const bool isPresent = present != m_runs.end() && present->second.run == request.run;
     const bool isOld = (ended != m_highestEnded.end() && ended->second >= request.run.run)
         || (present != m_runs.end() && present->second.run.run > request.run.run);
-    if (request.leaseUntil <= clock(now)) {
-        response.status = WorkerRequestStatus::LeaseExpired;
-        return response;
-    }
+    if (request.leaseUntil <= clock(now))
+        return respond(WorkerRequestStatus::LeaseExpired, now);
     renew(request.leaseUntil, now);
-    if (isOld) {
-        response.status = WorkerRequestStatus::Outdated;
-    } else if (!isPresent) {
+    if (isOld)
+        return respond(WorkerRequestStatus::Outdated, now);
+    if (!isPresent) {
+        if (present != m_runs.end())
+            m_doubleStarts.push_back(request.run.task);
         const auto behaviour = m_findBehaviour(request.run);
         m_runs[request.run.task] = { .run = request.run,
             .spec = behaviour.spec,
@@ -87,28 +90,23 @@
             .startedAt = now,
             .checkpoint = request.checkpoint };
     }
-    return response;
+    return respond(WorkerRequestStatus::Done, now);
 }
 
 RunResponse SimulatedWorker::stop(const StopRunRequest& request, TimePoint now)
 {
     checkLease(now);
-    RunResponse response {
-        .status = WorkerRequestStatus::Done, .clock = clock(now), .startTimeMs = m_profile.incarnation.startTimeMs
-    };
-    if (request.fence < m_fence) {
-        response.status = WorkerRequestStatus::Fenced;
-        return response;
-    }
+    if (request.fence < m_fence)
+        return respond(WorkerRequestStatus::Fenced, now);
     m_fence = request.fence;
     auto& highest = m_highestEnded[request.run.task];
     highest = std::max(highest, request.run.run);
     const auto present = m_runs.find(request.run.task);
-    if (present == m_runs.end() || present->second.run != request.run || present->second.isStopping)
-        return response;
-    present->second.isStopping = true;
-    present->second.stopsAt = now + stopTime / 2;
-    return response;
+    if (present != m_runs.end() && present->second.run == request.run && !present->second.isStopping) {
+        present->second.isStopping = true;
+        present->second.stopsAt = now + stopTime / 2;
+    }
+    return respond(WorkerRequestStatus::Done, now);
 }
 
 Expected<PollResponse> SimulatedWorker::poll(const PollRequest& request, TimePoint now)
@@ -191,4 +189,6 @@
 
 std::vector<ReportedEnd> SimulatedWorker::drainConfirmedEnds() { return std::exchange(m_confirmed, {}); }
 
+std::vector<TaskRef> SimulatedWorker::drainDoubleStarts() { return std::exchange(m_doubleStarts, {}); }
+
 } // namespace hickoryknot::workflow
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -41,12 +41,14 @@
 
     SimulatedWorker(WorkerProfile, double clockRate, TimePoint now, FindBehaviour);
 
-    /// Starts a new incarnation with the same id and without any state of the old one.
+    /// Starts a new incarnation with the same id and without any state of the old one. Its clock starts at `now`.
     void restart(TimePoint now);
 
     /// Changes the capacity that the next reports announce.
     void setCapacity(const Resources& capacity) { m_profile.capacity = capacity; }
     void setMaxListedEnds(size_t count) { m_maxListedEnds = count; }
+    /// Whether responses to start and stop requests name the incarnation, which the platform does not require.
+    void setNamesIncarnation(bool isNamed) { m_namesIncarnation = isNamed; }
 
     RunResponse start(const StartRunRequest&, TimePoint now);
     RunResponse stop(const StopRunRequest&, TimePoint now);
@@ -66,6 +68,8 @@
     /// Ends that were confirmed since the last call. Excludes ends that were listed when the lease expired, because the
     /// leader may have ended those runs as lost.
     std::vector<ReportedEnd> drainConfirmedEnds();
+    /// Tasks of which a run was started, since the last call, while an earlier one was still there.
+    std::vector<TaskRef> drainDoubleStarts();
     /// Number of times the lease expired in this incarnation.
     uint64_t lapses() const { return m_lapses; }
 
@@ -73,6 +77,7 @@
     void end(const TaskRef&, RunOutcome, const std::string& checkpoint);
     void checkLease(TimePoint now);
     void renew(WorkerClockMs until, TimePoint now);
+    RunResponse respond(WorkerRequestStatus, TimePoint now) const;
 
     WorkerProfile m_profile;
     double m_clockRate;
@@ -89,6 +94,8 @@
     std::vector<ReportedEnd> m_ended;
     std::vector<ReportedEnd> m_newEnds;
     std::vector<ReportedEnd> m_confirmed;
+    std::vector<TaskRef> m_doubleStarts;
+    bool m_namesIncarnation { true };
 };
 
 } // namespace hickoryknot::workflow
--- a/tests/workflow/WorkflowSafetyTest.cpp
+++ b/tests/workflow/WorkflowSafetyTest.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdlib>
+#include <iostream>
 
 #include "ClusterSimulation.h"
 
@@ -21,9 +22,10 @@
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against tasks that run twice at the same time, workers over capacity, starts before dependencies are done
-    // or after the task is done, and workflows that never end. Leaders change, workers restart, links are partitioned
-    // in one or both directions, and requests are lost or executed seconds late. SEEDS sets the number of runs,
-    // FIRST_SEED the first one.
+    // or after the task is done, and workflows that never end. Leaders change, workers restart under their ids within
+    // 0.2 to 1.5 s and are cut off soon after, links are partitioned in one or both directions, and requests are lost
+    // or executed seconds late. On half of the seeds responses to starts and stops do not name the incarnation. SEEDS
+    // sets the number of runs, FIRST_SEED the first one.
     void invariantsHoldUnderRandomFaults()
     {
         const uint64_t first = environmentNumber("FIRST_SEED", 1);
@@ -31,6 +33,7 @@
         constexpr int faultySteps = 12'000; // One minute.
         constexpr int faultFreeSteps = 24'000;
         size_t started = 0;
+        uint64_t unattributed = 0;
         for (uint64_t seed = first; seed < first + count; ++seed) {
             ClusterSimulation simulation(seed);
             run(simulation, seed, faultySteps);
@@ -40,7 +43,9 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
                 "seed " + std::to_string(seed), std::string(), simulation.unfinishedWorkflows());
             started += simulation.startedRuns();
+            unattributed += simulation.unattributedStarts();
         }
+        std::cerr << started << " starts, " << unattributed << " unattributed\n";
         // Fails if the simulation starts too few runs to test anything.
         CPPUNIT_ASSERT(started > count * 50);
     }
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -80,7 +80,7 @@
     void respond(const StartRunRequest& request, WorkerRequestStatus status)
     {
         m_scheduler.onStartResponse(
-            request, { .status = status, .clock = 1000, .startTimeMs = request.incarnation.startTimeMs }, m_now);
+            request, { .status = status, .clock = 1000, .startTimeMs = request.incarnation.startTimeMs }, m_now, m_now);
         // The record of a start may wait for other commands, and counts in the cycle after its commit.
         m_now += 1s;
         advance();
