Confirm ends only if a later incarnation of the worker has none

Cause: a poll names the worker and not its incarnation, and says up to which number ends may be dropped. An idle worker that had started again executed a start, and a poll with the numbers of the incarnation before dropped the end of that run.

Evidence: the simulated workers of the random schedules left this case out.

Change: a poll confirms ends only if no start that is on its way, or was acknowledged without proof, can have reached a later incarnation, or if the addressed one was certainly running less than 100 ms before, which is shorter than a restart.

--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -323,9 +323,7 @@
     // Each renewal that may still arrive postpones the time at which the runs count as lost. A worker that does not
     // respond therefore gets no renewals; otherwise its runs could never be started elsewhere.
     const bool isRenewing = hasRuns && !worker.consecutiveFailedCalls;
-    // The request names the worker and not its incarnation. After a failed call the worker may have started again, and
-    // would drop ends of its own by the numbers of this incarnation.
-    const uint64_t confirmedEnd = worker.consecutiveFailedCalls ? 0 : worker.lastRecordedEnd;
+    const uint64_t confirmedEnd = mayConfirmEnds(incarnation, worker, now) ? worker.lastRecordedEnd : 0;
     worker.isPollInFlight = true;
     requests.polls.push_back({ .incarnation = incarnation,
         .fence = m_fence,
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -128,6 +128,8 @@
     bool isUnattributed(const TrackedRun&, const TrackedWorker&) const;
     /// True if the run may be on an incarnation after this one, or may still get there.
     bool mayRunOnNextIncarnation(const TrackedRun&, const TrackedWorker&, TimePoint now) const;
+    /// True if a later incarnation has no ends that a poll of this one could confirm by mistake.
+    bool mayConfirmEnds(const WorkerIncarnation&, const TrackedWorker&, TimePoint now) const;
     void moveToNextIncarnation(TrackedRun&, TrackedWorker& next, TimePoint now);
     void checkGangs(TimePoint now);
     void advanceRun(TrackedRun&, TimePoint now, Requests&);
--- a/src/workflow/RunControllerIncarnations.cpp
+++ b/src/workflow/RunControllerIncarnations.cpp
@@ -14,6 +14,8 @@
 constexpr Duration longRunningCrashWindow = 30s;
 /// Consecutive failed calls after which unsent runs are taken back from a worker.
 constexpr uint32_t unreachableAfterFailedCalls = 2;
+/// Shorter than the time that a worker needs to start again, execute a request and end its run.
+constexpr Duration shortestRestart = 100ms;
 
 } // namespace
 
@@ -76,6 +78,26 @@
     return isUnattributed(run, worker) && now < *run.unattributedSince + longestRun;
 }
 
+// A later incarnation that receives the poll drops ends of its own by the numbers of this one. It has none if no start
+// can have reached it, or if it has had no time.
+bool RunController::mayConfirmEnds(
+    const WorkerIncarnation& incarnation, const TrackedWorker& worker, TimePoint now) const
+{
+    if (worker.consecutiveFailedCalls || worker.isInDoubt)
+        return false;
+    if (worker.lifetime.wasRunningAt(now - shortestRestart))
+        return true;
+    const auto runs = m_runsByIncarnation.find(incarnation);
+    return runs == m_runsByIncarnation.end()
+        || std::none_of(runs->second.begin(), runs->second.end(), [&](const auto& item) {
+               const TrackedRun& run = *item.second;
+               // Starts that are due are sent together with the poll.
+               const bool mayBeOnItsWay
+                   = run.phase == TrackedRun::Phase::Unsent || run.phase == TrackedRun::Phase::Sent;
+               return mayBeOnItsWay || run.hasUnacknowledgedStart || isUnattributed(run, worker);
+           });
+}
+
 // Only a worker that has come back shows that it had crashed; a silent one may be partitioned.
 RunOutcome RunController::outcomeOnLostWorker(const TrackedRun& run, const TrackedWorker& worker)
 {
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(rejectionOfTheOnlyStartReleasesTheCapacity);
     CPPUNIT_TEST(endsAreConfirmedOnceCommitted);
     CPPUNIT_TEST(pollAfterAFailedCallConfirmsNoEnds);
+    CPPUNIT_TEST(pollConfirmsNoEndsWhileAStartIsUnattributed);
+    CPPUNIT_TEST(workerThatHasJustRespondedGetsItsEndsConfirmed);
     CPPUNIT_TEST(silentWorkerLosesRunsOnlyAfterItsLease);
     CPPUNIT_TEST(failedPollsDoNotRenewTheLease);
     CPPUNIT_TEST(startThatCannotBeSentIsAbandoned);
@@ -309,6 +311,59 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, polls[0].lastRecordedEnd);
     }
 
+    // Guards against the same without a failed call: the next incarnation has executed a start that was meant for the
+    // one before, and a poll with the numbers of that one drops the end of the run. Found by the safety test.
+    void pollConfirmsNoEndsWhileAStartIsUnattributed()
+    {
+        beginOnWorkerOfAge(10s, 2);
+        respond(start(), WorkerRequestStatus::Done);
+        m_now += 1ms;
+        respondToPoll(m_poll, {}, { done(3, m_run) });
+        commitEnds();
+        auto requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, requests.polls[0].lastRecordedEnd);
+        respondToPoll(requests.polls[0], {});
+        // The worker idles, and starts again without a word.
+        const auto second = samples::run(samples::firstId, 0, 1);
+        m_now += 1s;
+        place(second);
+        requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.starts.size());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, requests.polls[0].lastRecordedEnd);
+        acknowledge(requests.starts[0], m_now - 50ms);
+        m_runController.onPollResponse(requests.polls[0],
+            PollResponse { .clock = 52, .startTimeMs = 2, .running = {}, .ended = { done(1, second) } }, m_now, m_now);
+        m_now += 200ms;
+        requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, requests.polls[0].lastRecordedEnd);
+        respondToPoll(requests.polls[0], {}, { done(1, second) });
+        const auto ends = m_runController.drainEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(ends[0].run == second && RunOutcome::Done == ends[0].outcome);
+    }
+
+    // Guards against ends that stay unconfirmed while some starts of a worker get no response.
+    void workerThatHasJustRespondedGetsItsEndsConfirmed()
+    {
+        const auto second = samples::run(samples::firstId, 0, 1);
+        begin(2);
+        place(m_run);
+        place(second);
+        const auto requests = advance();
+        respond(requests.starts.at(0), WorkerRequestStatus::Done);
+        respond(requests.starts.at(1), WorkerRequestStatus::NoResponse);
+        m_now += 1ms;
+        respondToPoll(requests.polls.at(0), {}, { done(1, m_run) });
+        m_now += 20ms;
+        commitEnds();
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, polls[0].lastRecordedEnd);
+    }
+
     // Guards against two runs of one task while its worker is partitioned and continues until its lease expires.
     void silentWorkerLosesRunsOnlyAfterItsLease()
     {
@@ -487,10 +542,10 @@
             int64_t { 1000 }, m_workerTracker.find(samples::incarnation("w", 2))->used.millicores.count());
     }
 
-    // Runs a worker for `age` with a poll at its start and at its end, and places a run there.
-    void beginOnWorkerOfAge(Duration age)
+    // Runs a worker for `age`, with a poll at its start and a report at its end, and places a run there.
+    void beginOnWorkerOfAge(Duration age, uint32_t count = 1)
     {
-        begin();
+        begin(count);
         respondToPoll(advance().polls.at(0), {});
         m_now += age;
         report("w");
--- a/tests/workflow/SimulatedWorker.cpp
+++ b/tests/workflow/SimulatedWorker.cpp
@@ -117,11 +117,9 @@
     m_fence = request.fence;
     if (request.leaseUntil)
         renew(*request.leaseUntil, now);
-    // A poll in transit during a restart confirms ends of this incarnation by numbers of the last one. The platform's
-    // protocol header does not exclude that and no scheduler can prevent it, so it is not simulated here.
-    const bool isForThisIncarnation = request.incarnation.startTimeMs == m_profile.incarnation.startTimeMs;
+    // The request names the worker and not its incarnation, so it may carry the numbers of an earlier one.
     std::erase_if(m_ended, [&](const ReportedEnd& ended) {
-        const bool isConfirmed = isForThisIncarnation && ended.number <= request.lastRecordedEnd;
+        const bool isConfirmed = ended.number <= request.lastRecordedEnd;
         if (isConfirmed && ended.number > m_lastEndBeforeLeaseExpiry)
             m_confirmed.push_back(ended);
         return isConfirmed;
