Order the incarnations of a worker by responses, not by start times

The worker's wall clock had been put back before it started again.

Cause: incarnations were ordered by the start time that they name. One with an earlier start time counted as an old one: its reports were stale, its answers to polls those of another incarnation, and each poll renewed the lease of the runs on the one before.

Change: whoever responds to a request is later than every incarnation that was known when it was sent. A report of an unknown incarnation, which may be late, only makes the leader poll once the latest known one has responded to it. Deadly tasks of the random schedules take their workers down for 0.2 s at least, like other restarts.

reportOfAnotherInstallationChangesNothing expected the report of a restarted worker to end its runs at once; the poll that follows does now, and the test checks that the record does not change before it.

--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -317,9 +317,9 @@
     if (worker.lastRecordedEnd < worker.lastReceivedEnd)
         return;
     // The first poll and polls after a failure return immediately, because the running tasks must be known soon; so do
-    // polls for the rest of a list of ends.
-    const bool mayWait = worker.hasConfirmedFence && !worker.isInDoubt && !worker.consecutiveFailedCalls
-        && !worker.hasMoreEnds && hasRuns;
+    // polls for the rest of a list of ends, and those that decide about runs of an earlier incarnation.
+    const bool mayWait = worker.hasConfirmedFence && !worker.isInDoubt && !worker.hasMovedRuns
+        && !worker.consecutiveFailedCalls && !worker.hasMoreEnds && hasRuns;
     // Each renewal that may still arrive postpones the time at which the runs count as lost. A worker that does not
     // respond therefore gets no renewals; otherwise its runs could never be started elsewhere.
     const bool isRenewing = hasRuns && !worker.consecutiveFailedCalls;
--- a/src/workflow/RunControllerIncarnations.cpp
+++ b/src/workflow/RunControllerIncarnations.cpp
@@ -119,7 +119,7 @@
         return;
     TrackedWorker* next = m_workerTracker.current(incarnation.worker);
     const bool hasNextIncarnation
-        = isIncarnationOver && next && next->incarnation().startTimeMs > incarnation.startTimeMs;
+        = isIncarnationOver && next && !next->isSuperseded && next->incarnation() != incarnation;
     // Another worker took over the address and rejects requests for this one.
     const bool isReplacedAtAddress = worker.isSuperseded && !hasNextIncarnation;
     // A copy, because a run may move to the next incarnation.
@@ -160,6 +160,7 @@
     run.isCallInFlight = false;
     const bool isKept = run.phase == TrackedRun::Phase::Confirmed && !run.isStopRequested && !mayStartLate;
     m_movedRuns.push_back({ .run = run.run, .to = run.incarnation, .isStopped = !isKept });
+    next.hasMovedRuns = next.hasMovedRuns || isKept;
     if (isKept)
         return;
     run.phase = TrackedRun::Phase::Stopping;
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -121,7 +121,7 @@
     }
     onWorkerContact(*worker, now);
     worker->lifetime.addResponse(response->clock, sentAt, now);
-    worker->isInDoubt = false;
+    m_workerTracker.onResponded(*worker);
     worker->hasConfirmedFence = true;
     // The worker responded after it announced its shutdown, so it is still running.
     if (worker->leavingSince && sentAt > *worker->leavingSince)
@@ -167,7 +167,7 @@
     if (response.hasMoreEnds)
         return;
     evaluateUnreportedRuns(worker, reported, sentAt, now);
-    worker.hasInheritedRuns = false;
+    worker.hasInheritedRuns = worker.hasMovedRuns = false;
     std::erase_if(m_orphans, [&](const auto& orphan) {
         return orphan.second.incarnation == worker.incarnation() && orphan.second.isConfirmed
             && !reported.contains(orphan.first);
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -21,8 +21,10 @@
     bool isProfileKnown { false }; // If false, this incarnation is known only from recorded runs.
     uint64_t sequence { 0 };
     IncarnationLifetime lifetime;
-    /// Another incarnation seems to respond in place of this one; a poll will tell.
+    /// Another incarnation seems to be running in place of this one; a poll will tell.
     bool isInDoubt { false };
+    /// It has reported itself, but another incarnation counts as the latest one until this one responds to a poll.
+    bool isUnconfirmed { false };
     TimePoint lastContactAt;
     /// When this leader received the profile, and the worker's clock when it was sent. Missing for recorded profiles.
     std::optional<TimePoint> profileReceivedAt;
@@ -38,6 +40,7 @@
     /// The worker has responded to a poll of this leadership, so it rejects earlier leaders.
     bool hasConfirmedFence { false };
     bool hasInheritedRuns { false }; // Some runs were placed by an earlier leader and are not yet reported to this one.
+    bool hasMovedRuns { false }; // Runs of an earlier incarnation may be here; the next complete list decides.
     bool hasMoreEnds { false }; // As in the latest poll response.
     bool isPollInFlight { false };
     TimePoint nextPollAt;
--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace hickoryknot::workflow {
 
@@ -27,7 +28,9 @@
 {
     m_workers.clear();
     m_latestStartOfWorker.clear();
-    m_latestStartAtAddress.clear();
+    m_latestAtAddress.clear();
+    m_endedStarts.clear();
+    m_confirmed.clear();
     m_numbers.clear();
 }
 
@@ -44,28 +47,64 @@
     return worker;
 }
 
-void WorkerTracker::recordStart(const WorkerIncarnation& incarnation)
+bool WorkerTracker::isLatest(const WorkerIncarnation& incarnation) const
 {
-    bool isLater = false;
-    const auto raise = [&](auto& latest, const auto& key) {
-        const auto [found, isFirst] = latest.try_emplace(key, incarnation.startTimeMs);
-        isLater = isLater || isFirst || found->second < incarnation.startTimeMs;
-        found->second = std::max(found->second, incarnation.startTimeMs);
-    };
-    raise(m_latestStartOfWorker, incarnation.worker);
-    raise(m_latestStartAtAddress, incarnation.address);
-    if (!isLater)
-        return;
+    const auto ofWorker = m_latestStartOfWorker.find(incarnation.worker);
+    const auto atAddress = m_latestAtAddress.find(incarnation.address);
+    return ofWorker != m_latestStartOfWorker.end() && ofWorker->second == incarnation.startTimeMs
+        && atAddress != m_latestAtAddress.end() && atAddress->second.worker == incarnation.worker;
+}
+
+void WorkerTracker::setLatest(const WorkerIncarnation& incarnation)
+{
+    m_latestStartOfWorker[incarnation.worker] = incarnation.startTimeMs;
+    m_latestAtAddress[incarnation.address] = { incarnation.worker, incarnation.startTimeMs };
+    auto& ended = m_endedStarts[incarnation.worker];
+    ended.erase(ended.begin(), ended.upper_bound(incarnation.startTimeMs));
     for (auto& [other, worker] : m_workers) {
-        const bool isSameWorker = other.worker == incarnation.worker || other.address == incarnation.address;
-        worker.isSuperseded = worker.isSuperseded || (isSameWorker && other.startTimeMs < incarnation.startTimeMs);
+        if (other.worker == incarnation.worker || other.address == incarnation.address)
+            worker.isSuperseded = other != incarnation;
+        if (other == incarnation)
+            worker.isUnconfirmed = false;
+        if (other.worker == incarnation.worker && other.startTimeMs > incarnation.startTimeMs)
+            ended.insert(other.startTimeMs);
     }
 }
 
+WorkerTracker::ReportOrder WorkerTracker::orderOf(const WorkerIncarnation& incarnation, TimePoint now)
+{
+    if (hasEnded(incarnation) || isAddressTaken(incarnation))
+        return ReportOrder::Earlier;
+    const TrackedWorker* latest = current(incarnation.worker);
+    if (!latest || latest->incarnation() == incarnation)
+        return ReportOrder::Latest;
+    const TrackedWorker* known = find(incarnation);
+    if (known && known->isSuperseded)
+        return ReportOrder::Earlier;
+    // Before it has responded to this leader, an incarnation has nothing that would be lost by an error.
+    if (!latest->hasConfirmedFence && incarnation.startTimeMs > latest->incarnation().startTimeMs)
+        return ReportOrder::Latest;
+    const bool isSilent = now - latest->lastContactAt >= m_settings.contactTimeout;
+    return isSilent && latest->taskCountByStep.empty() ? ReportOrder::Latest : ReportOrder::Open;
+}
+
+void WorkerTracker::onResponded(TrackedWorker& worker)
+{
+    worker.isInDoubt = false;
+    if (worker.isSuperseded || !std::exchange(worker.isUnconfirmed, false))
+        return;
+    // The incarnation that counted as the latest one was known before the request was sent, so it has ended.
+    setLatest(worker.incarnation());
+    m_confirmed.push_back(worker.incarnation().worker);
+}
+
+std::vector<WorkerId> WorkerTracker::drainConfirmed() { return std::exchange(m_confirmed, {}); }
+
 WorkerTracker::ReportResult WorkerTracker::applyReport(const WorkerReport& report, TimePoint now)
 {
     const WorkerIncarnation& incarnation = report.profile.incarnation;
-    if (isSuperseded(incarnation))
+    const ReportOrder order = orderOf(incarnation, now);
+    if (order == ReportOrder::Earlier)
         return ReportResult::Stale;
     TrackedWorker& worker = findOrAdd(incarnation);
     const bool isNew = !worker.isProfileKnown;
@@ -74,12 +113,19 @@
     const bool isChanged = isNew || !(worker.profile == report.profile);
     worker.profile = report.profile;
     worker.isProfileKnown = true;
-    recordStart(incarnation);
     worker.sequence = report.sequence;
     worker.lastContactAt = now;
     worker.profileReceivedAt = now;
     worker.profileClock = report.clock;
     worker.lifetime.addReport(report.clock, now);
+    if (order == ReportOrder::Open) {
+        worker.isSuperseded = false;
+        worker.isUnconfirmed = true;
+        current(incarnation.worker)->isInDoubt = true;
+        return ReportResult::Stale;
+    }
+    if (!isLatest(incarnation))
+        setLatest(incarnation);
     return isChanged ? ReportResult::Changed : ReportResult::Unchanged;
 }
 
@@ -88,7 +134,8 @@
     TrackedWorker& worker = findOrAdd(profile.incarnation);
     worker.profile = profile;
     worker.isProfileKnown = true;
-    recordStart(profile.incarnation);
+    if (!isSuperseded(profile.incarnation))
+        setLatest(profile.incarnation);
     // Counts as contacted now until it responds or reports, because most recorded workers still exist.
     worker.lastContactAt = now;
     return worker;
@@ -103,13 +150,24 @@
 
 void WorkerTracker::markSuperseded(const WorkerIncarnation& incarnation, int64_t startTimeMs, TimePoint now)
 {
-    if (startTimeMs <= incarnation.startTimeMs)
-        return;
     const WorkerIncarnation next {
         .worker = incarnation.worker, .startTimeMs = startTimeMs, .address = incarnation.address
     };
-    findOrAdd(next).lastContactAt = now;
-    recordStart(next);
+    const auto latest = m_latestStartOfWorker.find(incarnation.worker);
+    // If a third incarnation has become known since the request, its order to this one is open, and start times decide.
+    const bool isLater = latest == m_latestStartOfWorker.end() || latest->second == incarnation.startTimeMs
+        || latest->second < startTimeMs;
+    TrackedWorker& sender = findOrAdd(next);
+    sender.lastContactAt = now;
+    sender.isInDoubt = false;
+    if (isLater) {
+        setLatest(next);
+        m_confirmed.push_back(next.worker);
+    }
+    if (m_latestStartOfWorker.at(incarnation.worker) < incarnation.startTimeMs)
+        m_endedStarts[incarnation.worker].insert(incarnation.startTimeMs);
+    if (TrackedWorker* ended = find(incarnation))
+        ended->isSuperseded = true;
 }
 
 TrackedWorker* WorkerTracker::find(const WorkerIncarnation& incarnation)
@@ -124,24 +182,40 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
-TrackedWorker* WorkerTracker::current(const WorkerId& worker)
+TrackedWorker* WorkerTracker::current(const WorkerId& id)
 {
+    const auto latest = m_latestStartOfWorker.find(id);
     // Incarnations are ordered by id, then by start time.
-    auto after = m_workers.upper_bound(WorkerIncarnation { worker, std::numeric_limits<int64_t>::max(), "\x7f" });
-    if (after == m_workers.begin())
-        return nullptr;
-    --after;
-    return after->first.worker == worker ? &after->second : nullptr;
+    auto item = m_workers.lower_bound(WorkerIncarnation { id, std::numeric_limits<int64_t>::min(), {} });
+    TrackedWorker* last = nullptr;
+    for (; item != m_workers.end() && item->first.worker == id; ++item) {
+        last = &item->second;
+        if (latest != m_latestStartOfWorker.end() && item->first.startTimeMs == latest->second)
+            return last;
+    }
+    return latest == m_latestStartOfWorker.end() ? last : nullptr;
 }
 
 void WorkerTracker::remove(const WorkerIncarnation& incarnation) { m_workers.erase(incarnation); }
 
+bool WorkerTracker::hasEnded(const WorkerIncarnation& incarnation) const
+{
+    const auto ended = m_endedStarts.find(incarnation.worker);
+    return ended != m_endedStarts.end() && ended->second.contains(incarnation.startTimeMs);
+}
+
+bool WorkerTracker::isAddressTaken(const WorkerIncarnation& incarnation) const
+{
+    const auto occupant = m_latestAtAddress.find(incarnation.address);
+    return occupant != m_latestAtAddress.end() && occupant->second.worker != incarnation.worker
+        && occupant->second.startTimeMs > incarnation.startTimeMs;
+}
+
 bool WorkerTracker::isSuperseded(const WorkerIncarnation& incarnation) const
 {
     const auto ofWorker = m_latestStartOfWorker.find(incarnation.worker);
-    const auto atAddress = m_latestStartAtAddress.find(incarnation.address);
     return (ofWorker != m_latestStartOfWorker.end() && ofWorker->second > incarnation.startTimeMs)
-        || (atAddress != m_latestStartAtAddress.end() && atAddress->second > incarnation.startTimeMs);
+        || hasEnded(incarnation) || isAddressTaken(incarnation);
 }
 
 bool WorkerTracker::isProfileCurrent(const TrackedWorker& worker, TimePoint now) const
@@ -158,9 +232,9 @@
 
 bool WorkerTracker::isPresent(const TrackedWorker& worker, TimePoint now) const
 {
-    return worker.isProfileKnown && !worker.isSuperseded && !worker.profile.isDraining && !worker.leavingSince
-        && now - worker.lastContactAt < m_settings.contactTimeout && !worker.consecutiveFailedCalls
-        && now >= worker.backoffEnd;
+    return worker.isProfileKnown && !worker.isSuperseded && !worker.isUnconfirmed && !worker.profile.isDraining
+        && !worker.leavingSince && now - worker.lastContactAt < m_settings.contactTimeout
+        && !worker.consecutiveFailedCalls && now >= worker.backoffEnd;
 }
 
 bool WorkerTracker::isReadyForWork(const TrackedWorker& worker, TimePoint now) const
--- a/src/workflow/WorkerTracker.h
+++ b/src/workflow/WorkerTracker.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,7 +27,7 @@
 
     /// Classifies a report for the recorded state.
     enum class ReportResult : uint8_t {
-        Stale, // From an ended incarnation, or overtaken by a later report.
+        Stale, // From an incarnation that has ended or may have, or overtaken by a later report.
         Unchanged,
         Changed, // A new incarnation, or a profile that differs from the recorded one.
     };
@@ -37,16 +38,23 @@
     /// Adds an incarnation that is known only from placed runs.
     TrackedWorker& addForRun(const WorkerIncarnation&, TimePoint leaseEnd);
 
-    /// A response showed that a later incarnation has replaced this one.
+    /// The response to a request for this incarnation came from another one, so that one is later, whatever the start
+    /// times say: the worker's wall clock may have been put back between them.
     void markSuperseded(const WorkerIncarnation&, int64_t startTimeMs, TimePoint now);
 
+    /// The incarnation has responded to a poll.
+    void onResponded(TrackedWorker&);
+    /// Returns and clears the workers of which another incarnation than before has proved to be the latest one.
+    std::vector<WorkerId> drainConfirmed();
+
     TrackedWorker* find(const WorkerIncarnation&);
     const TrackedWorker* find(const WorkerIncarnation&) const;
     /// The latest incarnation with this id; null if none is known.
     TrackedWorker* current(const WorkerId&);
     void remove(const WorkerIncarnation&);
 
-    /// True if a later incarnation with the same id or address shows that this one has ended.
+    /// True if a later incarnation with the same id or address shows that this one has ended. Without a response that
+    /// shows the order, the later start time counts.
     bool isSuperseded(const WorkerIncarnation&) const;
 
     /// True if the worker has reported its capacity to this leader recently enough to rely on it. The age of recorded
@@ -88,13 +96,35 @@
     bool isPresent(const TrackedWorker&, TimePoint now) const;
     /// Returns the entry of an incarnation; creates it if needed.
     TrackedWorker& findOrAdd(const WorkerIncarnation&);
-    void recordStart(const WorkerIncarnation&);
+    bool isLatest(const WorkerIncarnation&) const;
+    /// True if a response showed that a later incarnation, with an earlier start time, has replaced this one.
+    bool hasEnded(const WorkerIncarnation&) const;
+    /// True if another worker has started later at the same address.
+    bool isAddressTaken(const WorkerIncarnation&) const;
+    /// Makes this incarnation the latest one of its worker and at its address, whatever the start times say.
+    void setLatest(const WorkerIncarnation&);
+    /// Order of an incarnation that reports itself to the latest one of its worker.
+    enum class ReportOrder : uint8_t {
+        Earlier, // It has ended; the report was delayed.
+        Latest,
+        /// Start times are no proof, since a report may be late and a wall clock may have been put back in between. A
+        /// poll will show which incarnation is running.
+        Open,
+    };
+    ReportOrder orderOf(const WorkerIncarnation&, TimePoint now);
 
     const SchedulerSettings& m_settings;
     std::map<WorkerIncarnation, TrackedWorker> m_workers;
-    /// Latest start time of an incarnation that has reported itself, by id and by address.
+    struct Occupant {
+        WorkerId worker;
+        int64_t startTimeMs { 0 };
+    };
+    /// Start time of the latest known incarnation of each worker, and the latest worker at each address.
     std::unordered_map<WorkerId, int64_t> m_latestStartOfWorker;
-    std::unordered_map<std::string, int64_t> m_latestStartAtAddress;
+    std::unordered_map<std::string, Occupant> m_latestAtAddress;
+    /// Start times of ended incarnations that are later than that of the latest incarnation.
+    std::unordered_map<WorkerId, std::set<int64_t>> m_endedStarts;
+    std::vector<WorkerId> m_confirmed;
     std::unordered_map<WorkerId, uint32_t> m_numbers;
 };
 
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -172,9 +172,8 @@
 bool WorkflowScheduler::isRecorded(const WorkerReport& report) const
 {
     const auto known = m_state.workers().find(report.profile.incarnation.worker);
-    return known != m_state.workers().end()
-        && (known->second == report.profile
-            || known->second.incarnation.startTimeMs > report.profile.incarnation.startTimeMs);
+    return (known != m_state.workers().end() && known->second == report.profile)
+        || m_workerTracker.isSuperseded(report.profile.incarnation);
 }
 
 void WorkflowScheduler::onWorkerLeaving(const WorkerId& id, TimePoint now)
@@ -467,11 +466,23 @@
 
 void WorkflowScheduler::recordWorkers(std::vector<WorkflowCommand>& commands)
 {
+    for (const auto& id : m_workerTracker.drainConfirmed())
+        m_unrecordedWorkers.insert(id);
     RecordWorkers record;
+    RemoveWorkers replaced;
     for (const auto& id : std::exchange(m_unrecordedWorkers, {})) {
-        if (const TrackedWorker* worker = m_workerTracker.current(id))
-            record.profiles.push_back(worker->profile);
+        const TrackedWorker* worker = m_workerTracker.current(id);
+        if (!worker || !worker->isProfileKnown)
+            continue;
+        record.profiles.push_back(worker->profile);
+        // The record keeps the profile with the latest start time, unless it is removed first.
+        const auto known = m_state.workers().find(id);
+        if (known != m_state.workers().end()
+            && known->second.incarnation.startTimeMs > worker->incarnation().startTimeMs)
+            replaced.incarnations.push_back(known->second.incarnation);
     }
+    if (!replaced.incarnations.empty())
+        commands.emplace_back(std::move(replaced));
     if (!record.profiles.empty())
         commands.emplace_back(std::move(record));
 }
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -12,6 +12,8 @@
 constexpr Duration stepTime = 5ms;
 constexpr Duration reportPeriod = 1500ms;
 constexpr size_t workerCount = 5;
+/// Shortest time for which a worker that restarts is down.
+constexpr Duration shortestRestart = 200ms;
 /// The platform's rule: after three workers have crashed under a task, it must not be started three times more.
 constexpr uint32_t crashesBeforeLimit = 3;
 constexpr size_t maxRunsAfterCrashes = 3;
@@ -128,7 +130,7 @@
         reportViolation("task " + describe(run.task) + " is started again and again and crashes its workers");
 }
 
-Duration ClusterSimulation::restartTime() { return 200ms + Duration(m_random() % 1'300'000); }
+Duration ClusterSimulation::restartTime() { return shortestRestart + Duration(m_random() % 1'300'000); }
 
 void ClusterSimulation::crashWorker(SimulatedWorker& worker, Duration downTime)
 {
@@ -139,7 +141,10 @@
     // Nobody can tell these from runs that were still there.
     for (const auto& end : worker.unconfirmedEnds())
         ++m_lostRuns[end.run.task];
-    worker.restart(m_now + downTime);
+    // Wall clocks jump back by up to some seconds.
+    const int64_t startTimeMs = (m_now + downTime).time_since_epoch() / 1ms;
+    const int64_t jumpMs = chance(0.15) ? static_cast<int64_t>(m_random() % 20'000) : 0;
+    worker.restart(m_now + downTime, startTimeMs - jumpMs);
     auto& link = m_links[worker.profile().incarnation.worker];
     link.downUntil = m_now + downTime;
     link.isRefusing = chance(0.5);
@@ -162,7 +167,7 @@
         });
         if (!isCrashing)
             continue;
-        crashWorker(*worker, Duration(m_random() % 4'000'000));
+        crashWorker(*worker, shortestRestart + Duration(m_random() % 4'000'000));
     }
 }
 
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -39,6 +39,9 @@
     CPPUNIT_TEST(unacknowledgedStartOutlivesTheLeaseOfASilentWorker);
     CPPUNIT_TEST(permissionBoundsALateStart);
     CPPUNIT_TEST(lateReportOfAnOldIncarnationIsIgnored);
+    CPPUNIT_TEST(incarnationWithAnEarlierStartTimeTakesOver);
+    CPPUNIT_TEST(responseOfAnEarlierStartTimeEndsTheKnownIncarnation);
+    CPPUNIT_TEST(lateReportWithALaterStartTimeEndsNothing);
     CPPUNIT_TEST(firstPollDecidesInheritedRuns);
     CPPUNIT_TEST(inheritedRunIsKeptUntilTheLeaseOfASilentWorkerExpires);
     CPPUNIT_TEST(runMissingFromACutListIsKept);
@@ -578,6 +581,84 @@
             request, { .status = WorkerRequestStatus::Done, .clock = clockSince(incarnationStartedAt) }, sentAt, m_now);
     }
 
+    // The worker starts again, reports itself and responds to a poll.
+    void restart(int64_t startTimeMs)
+    {
+        report("w", startTimeMs);
+        for (const auto& request : advance().polls) {
+            if (request.incarnation.startTimeMs == startTimeMs)
+                respondToPoll(request, {});
+        }
+    }
+
+    // Guards against a worker whose wall clock was put back before it started again: its new incarnation, with an
+    // earlier start time, counted as an old one for good, and the ends of its runs were never recorded.
+    void incarnationWithAnEarlierStartTimeTakesOver()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        report("w", -5);
+        // The report may be an old one that was delayed.
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { -5 }, polls[0].incarnation.startTimeMs);
+        const auto isUsable = [&](int64_t start) {
+            return m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w", start)), m_now);
+        };
+        CPPUNIT_ASSERT(!isUsable(-5) && !isUsable(1));
+        respondToPoll(polls[0], {});
+        advance();
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
+        CPPUNIT_ASSERT(isUsable(-5) && !isUsable(1));
+        CPPUNIT_ASSERT_EQUAL(int64_t { -5 }, m_workerTracker.current(WorkerId("w"))->incarnation().startTimeMs);
+        // A late report of the incarnation before changes nothing, though its start time is later.
+        report("w", 1);
+        CPPUNIT_ASSERT(isUsable(-5) && !isUsable(1));
+    }
+
+    // Guards against the same for an incarnation that has not reported itself: it responds to a poll or a start for the
+    // one before.
+    void responseOfAnEarlierStartTimeEndsTheKnownIncarnation()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        m_now += 1ms;
+        m_runController.onPollResponse(
+            m_poll, PollResponse { .clock = 50, .startTimeMs = -5, .running = {}, .ended = {} }, m_now, m_now);
+        m_now += 1s;
+        for (const auto& next : advance().polls)
+            CPPUNIT_ASSERT_EQUAL(int64_t { -5 }, next.incarnation.startTimeMs);
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
+    }
+
+    // Guards against two runs of one task: the report of an incarnation that has ended arrives late, and its start time
+    // is later than that of the running one, because the wall clock was put back between them.
+    void lateReportWithALaterStartTimeEndsNothing()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        m_now += 1ms;
+        respondToPoll(m_poll, { { .run = m_run, .checkpoint = {} } });
+        report("w", 9);
+        auto polls = advance().polls;
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, polls.size());
+        for (const auto& request : polls)
+            m_runController.onPollResponse(request,
+                PollResponse { .clock = clockSince(firstStart()),
+                    .startTimeMs = 1,
+                    .running = { { .run = m_run, .checkpoint = {} } },
+                    .ended = {} },
+                m_now - 1ms, m_now);
+        advance();
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 1 }, m_workerTracker.current(WorkerId("w"))->incarnation().startTimeMs);
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
+        report("w", 9);
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
+    }
+
     // Guards against two runs of one task: an idle worker started again, executed a start that was meant for the
     // incarnation before, and its response did not say so. The run counted as lost with that one. review/6.
     void startTakenByAnUnknownIncarnationStaysThere()
@@ -606,10 +687,16 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, m_runController.unattributedStarts());
         m_now += 1ms;
         report("w", 2);
-        const auto polls = advance().polls;
+        auto polls = advance().polls;
         CPPUNIT_ASSERT(m_runController.drainEnds().empty());
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
         respondToPoll(polls[0], {});
+        // The next poll decides, without waiting for an end.
+        polls = advance().polls;
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(Duration(0) == polls[0].maxWait);
+        respondToPoll(polls[0], {});
         const auto ends = m_runController.drainEnds();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
         CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == ends[0].outcome);
@@ -622,7 +709,7 @@
         beginOnWorkerOfAge(10s);
         acknowledge(start(), firstStart());
         CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, m_runController.unattributedStarts());
-        report("w", 2);
+        restart(2);
         advance();
         CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
     }
@@ -634,7 +721,7 @@
         acknowledge(request, firstStart());
         m_now += 1ms;
         respondToPoll(m_poll, { { .run = m_run, .checkpoint = {} } });
-        report("w", 2);
+        restart(2);
         advance();
         CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
     }
--- a/tests/workflow/SimulatedWorker.cpp
+++ b/tests/workflow/SimulatedWorker.cpp
@@ -19,9 +19,9 @@
 {
 }
 
-void SimulatedWorker::restart(TimePoint now)
+void SimulatedWorker::restart(TimePoint now, int64_t startTimeMs)
 {
-    ++m_profile.incarnation.startTimeMs;
+    m_profile.incarnation.startTimeMs = startTimeMs;
     m_startedAt = now;
     m_fence = 0;
     m_leaseEnd = 0;
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -41,8 +41,10 @@
 
     SimulatedWorker(WorkerProfile, double clockRate, TimePoint now, FindBehaviour);
 
-    /// Starts a new incarnation with the same id and without any state of the old one. Its clock starts at `now`.
-    void restart(TimePoint now);
+    /// Starts a new incarnation with the same id and without any state of the old one. Its clock starts at `now`. The
+    /// start times by the wall clock, which may have been put back, need not ascend.
+    void restart(TimePoint now, int64_t startTimeMs);
+    void restart(TimePoint now) { restart(now, m_profile.incarnation.startTimeMs + 1); }
 
     /// Changes the capacity that the next reports announce.
     void setCapacity(const Resources& capacity) { m_profile.capacity = capacity; }
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(startedWorkflowIsNotPendingAfterALeaderChange);
     CPPUNIT_TEST(permissionIsRequestedWhileTheAcceptanceIsCommitted);
     CPPUNIT_TEST(reportOfAnotherInstallationChangesNothing);
+    CPPUNIT_TEST(incarnationWithAnEarlierStartTimeIsRecorded);
     CPPUNIT_TEST(workersOfARemovedPoolStillReport);
     CPPUNIT_TEST(cancellationThatOvertakesTheSubmissionHolds);
     CPPUNIT_TEST(workOfARemovedQueueStillAsksForPermission);
@@ -155,11 +156,39 @@
         advance();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_scheduler.runController().size());
         CPPUNIT_ASSERT_EQUAL(int64_t { 1 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
-        // A restart of the worker itself ends its runs as before.
-        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("w", 2, "pool"), m_now));
+        // A restart of the worker itself ends its runs as before, once the new incarnation has responded.
+        restartWorker(2);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+    }
+
+    // The worker starts again; the record changes once its new incarnation has responded to a poll.
+    void restartWorker(int64_t startTimeMs)
+    {
+        const int64_t before = m_state.workers().at(WorkerId("w")).incarnation.startTimeMs;
+        CPPUNIT_ASSERT(m_scheduler.onWorkerReport(reportOf("w", startTimeMs, "pool"), m_now));
+        for (const auto& poll : advance().polls) {
+            CPPUNIT_ASSERT_EQUAL(before, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+            if (poll.incarnation.startTimeMs == startTimeMs)
+                m_scheduler.onPollResponse(poll,
+                    PollResponse { .clock = 10, .startTimeMs = startTimeMs, .running = {}, .ended = {} }, m_now, m_now);
+        }
         advance();
         advance();
-        CPPUNIT_ASSERT_EQUAL(int64_t { 2 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+    }
+
+    // Guards against a record that keeps an incarnation that has ended because its start time is later: the next leader
+    // would take that one for the latest.
+    void incarnationWithAnEarlierStartTimeIsRecorded()
+    {
+        begin(samples::table());
+        advance();
+        CPPUNIT_ASSERT_EQUAL(int64_t { 1 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+        restartWorker(0);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, m_state.workers().at(WorkerId("w")).incarnation.startTimeMs);
+        m_scheduler.becomeLeader(2, m_now, epoch);
+        const auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, polls[0].incarnation.startTimeMs);
     }
 
     // Guards against workers that cannot announce their shutdown, or report to a new leader, once their pool is
