End a worker whose address has been taken by another one

What callers would see: tasks that are never started elsewhere after their worker is gone and another one has its address, with an earlier start time or without a report. Found by reading, not reported.

Cause: the new worker rejects each poll. That counted neither as a failed call nor as an end, and each poll renewed the lease of the runs in the leader's books.

Change: the rejection ends the addressed worker. A poll that a leader in doubt holds back had the same error code; it has its own now and still says nothing.

--- a/src/control/WorkerClient.h
+++ b/src/control/WorkerClient.h
@@ -14,7 +14,7 @@
     virtual ~WorkerClient() = default;
 
     using RequestCompletion = std::function<void(workflow::RunResponse)>;
-    /// Error Conflict: another incarnation of the worker responded. Any other error: no response.
+    /// Error Conflict: another worker responded at the address. Any other error: no response.
     using PollCompletion = std::function<void(Expected<workflow::PollResponse>)>;
 
     virtual void start(const workflow::StartRunRequest&, RequestCompletion) = 0;
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -252,7 +252,7 @@
         const TimePoint sentAt = steadyNow();
         if (!isLeading()) {
             m_scheduler.onPollResponse(
-                request, makeError(ErrorCode::Conflict, "leadership is in doubt"), sentAt, sentAt);
+                request, makeError(ErrorCode::NotLeader, "leadership is in doubt"), sentAt, sentAt);
             continue;
         }
         m_workers.poll(request, [this, alive = m_isAlive, request, sentAt](const Expected<PollResponse>& response) {
--- a/src/workflow/RunControllerIncarnations.cpp
+++ b/src/workflow/RunControllerIncarnations.cpp
@@ -35,6 +35,10 @@
     if (isOther)
         m_workerTracker.markSuperseded(incarnation, *response.startTimeMs, now);
     TrackedWorker* worker = m_workerTracker.find(incarnation);
+    if (response.status == WorkerRequestStatus::WrongIncarnation) {
+        m_workerTracker.markReplacedAtAddress(incarnation);
+        return MessageSender::Other;
+    }
     if (response.status == WorkerRequestStatus::NoResponse || response.status == WorkerRequestStatus::NotSent) {
         if (worker)
             onCallFailure(*worker, now);
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -114,7 +114,10 @@
         // ends.
         if (isNamedOther)
             m_workerTracker.markSuperseded(request.incarnation, *response->startTimeMs, now);
-        if (!response && response.error().code != ErrorCode::Conflict)
+        // A poll that a leader in doubt has held back says nothing about its worker.
+        if (!response && response.error().code == ErrorCode::Conflict)
+            m_workerTracker.markReplacedAtAddress(request.incarnation);
+        else if (!response && response.error().code != ErrorCode::NotLeader)
             onCallFailure(*worker, now);
         worker->nextPollAt = std::max(now + m_settings.retryDelay, worker->backoffEnd);
         return;
--- a/src/workflow/WorkerRequests.h
+++ b/src/workflow/WorkerRequests.h
@@ -48,7 +48,7 @@
     NoCapacity,
     NoPermission, // The permission token is missing or has expired.
     Unhealthy, // The worker currently executes no requests.
-    WrongIncarnation, // Another incarnation of the worker responded; it did nothing.
+    WrongIncarnation, // Another worker responded at the address; it did nothing.
     Invalid,
     NoResponse, // May have been executed, or may still be.
     NotSent, // Certainly not executed.
--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -170,6 +170,12 @@
         ended->isSuperseded = true;
 }
 
+void WorkerTracker::markReplacedAtAddress(const WorkerIncarnation& incarnation)
+{
+    if (TrackedWorker* worker = find(incarnation))
+        worker->isSuperseded = true;
+}
+
 TrackedWorker* WorkerTracker::find(const WorkerIncarnation& incarnation)
 {
     const auto found = m_workers.find(incarnation);
--- a/src/workflow/WorkerTracker.h
+++ b/src/workflow/WorkerTracker.h
@@ -42,6 +42,8 @@
     /// times say: the worker's wall clock may have been put back between them.
     void markSuperseded(const WorkerIncarnation&, int64_t startTimeMs, TimePoint now);
 
+    /// Another worker responded at this incarnation's address, so it has ended.
+    void markReplacedAtAddress(const WorkerIncarnation&);
     /// The incarnation has responded to a poll.
     void onResponded(TrackedWorker&);
     /// Returns and clears the workers of which another incarnation than before has proved to be the latest one.
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -39,6 +39,9 @@
     CPPUNIT_TEST(unacknowledgedStartOutlivesTheLeaseOfASilentWorker);
     CPPUNIT_TEST(permissionBoundsALateStart);
     CPPUNIT_TEST(lateReportOfAnOldIncarnationIsIgnored);
+    CPPUNIT_TEST(workerReplacedAtItsAddressLosesItsRuns);
+    CPPUNIT_TEST(startRejectedByAnotherWorkerEndsTheIncarnation);
+    CPPUNIT_TEST(pollHeldBackByALeaderInDoubtSaysNothing);
     CPPUNIT_TEST(incarnationWithAnEarlierStartTimeTakesOver);
     CPPUNIT_TEST(responseOfAnEarlierStartTimeEndsTheKnownIncarnation);
     CPPUNIT_TEST(lateReportWithALaterStartTimeEndsNothing);
@@ -591,6 +594,44 @@
         }
     }
 
+    // Guards against runs that are never started elsewhere: another worker has the address, its start time is earlier,
+    // and each poll that it rejected renewed the lease of the runs.
+    void workerReplacedAtItsAddressLosesItsRuns()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        m_now += 1ms;
+        m_runController.onPollResponse(
+            m_poll, makeError(ErrorCode::Conflict, "another worker responded"), m_now, m_now);
+        advance();
+        const auto ends = m_runController.drainEnds();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == ends[0].outcome);
+        CPPUNIT_ASSERT(!m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
+    }
+
+    // Guards against an end of a worker by a poll that never left this host.
+    void pollHeldBackByALeaderInDoubtSaysNothing()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        m_now += 1ms;
+        m_runController.onPollResponse(m_poll, makeError(ErrorCode::NotLeader, "in doubt"), m_now, m_now);
+        advance();
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
+    }
+
+    // Guards against more starts for such a worker after it has rejected one.
+    void startRejectedByAnotherWorkerEndsTheIncarnation()
+    {
+        beginOnWorkerOfAge(10s);
+        const auto request = start();
+        m_runController.onStartResponse(request, { .status = WorkerRequestStatus::WrongIncarnation }, m_now, m_now);
+        CPPUNIT_ASSERT(RunOutcome::NeverStarted == m_runController.drainEnds().at(0).outcome);
+        CPPUNIT_ASSERT(!m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
+    }
+
     // Guards against a worker whose wall clock was put back before it started again: its new incarnation, with an
     // earlier start time, counted as an old one for good, and the ends of its runs were never recorded.
     void incarnationWithAnEarlierStartTimeTakesOver()
