Restart workers under their ids in the soak, and leave the incarnation out of answers

By the seed, workers name their incarnation in responses to starts and stops or not, as the platform allows, their clocks start at 0 or 1 s, and on two seeds of three a worker or some of 80 restart every 0.1 to 1 s, idle or busy, within 0.2 to 1.5 s, with start times that sometimes go back. A third of them are cut off within 2 s of their return, often before their first report. A run of a task that is started beside an earlier one on the same worker is a violation, too.

--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -42,6 +42,8 @@
 
     void onRunStarted(const WorkerId&, const workflow::RunRef&, const std::string& command, TimePoint now);
     void onRunEnded(const workflow::ReportedEnd&);
+    /// The worker is about to lose its runs and the ends that it has not reported.
+    void onWorkerCrashed(const workflow::SimulatedWorker&);
     void onEndConfirmed(const workflow::ReportedEnd&);
     /// Checks the runs of all workers for duplicates and for capacity.
     void checkWorkers(const std::vector<std::unique_ptr<workflow::SimulatedWorker>>&);
@@ -67,6 +69,7 @@
         m_confirmedCompletions; // The scheduler confirmed to the worker that the end is committed.
     std::map<workflow::TaskRef, uint32_t> m_confirmedFailures;
     std::map<workflow::TaskRef, uint32_t> m_failures;
+    std::map<workflow::TaskRef, uint32_t> m_crashes; // Workers that crashed with a run of the task.
     TimePoint m_quietSince { TimePoint::max() };
     size_t m_startedRuns { 0 };
     std::vector<std::string> m_violations;
--- a/tests/soak/SoakFaults.h
+++ b/tests/soak/SoakFaults.h
@@ -40,6 +40,9 @@
     static const std::vector<Kind>& kinds();
 
     void injectHostFault(TimePoint now);
+    /// Workers start again under their ids, and some are cut off soon after, often before they have reported
+    /// themselves.
+    void restartWorkers(TimePoint now);
     void injectWorkerFault(TimePoint now);
     SoakCluster::Host* chooseHost(TimePoint now);
     Duration randomDuration(Duration min, Duration max);
@@ -64,6 +67,8 @@
     size_t m_toleratedLosses;
     std::mt19937_64 m_random;
     TimePoint m_nextFault;
+    bool m_hasRestarts; // By the seed.
+    TimePoint m_nextRestart;
     TimePoint m_startTime;
     std::vector<Pending> m_pending;
     std::map<std::string, TimePoint> m_lostUntil; // By host.
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -37,6 +37,8 @@
 constexpr std::array failedSeeds {
     FailedSeed { 9, "a start on its way was taken by the worker's next life: two runs of one task" },
     FailedSeed { 11, "the same: a worker over its capacity, and a start after a confirmed end" },
+    FailedSeed { 7, "a start acknowledged by the worker's next incarnation: two runs of one task" },
+    FailedSeed { 15, "the same" },
 };
 
 double environmentNumber(const char* name, double defaultValue)
@@ -54,7 +56,8 @@
 
     // Guards against jobs that are lost, run twice, run after a refusal or are shown in a wrong state, and against
     // table versions that go back, while real processes are killed, stopped, paused, cut off, lose their disks and get
-    // malformed messages on every port.
+    // malformed messages on every port, and workers start again under their ids. By the seed, workers name their
+    // incarnation in responses to starts and stops or not, and restart often or seldom.
     // Environment: SEEDS is the number of seeds (default: two and all in failedSeeds), FIRST_SEED the first one,
     // SOAK_SECONDS the time with faults; SOAK_FAULTS=0 disables faults, SOAK_KEEP keeps the logs, SOAK_WORKERS and
     // SOAK_JOBS (per second) set the load.
--- a/tests/soak/SoakWorkers.h
+++ b/tests/soak/SoakWorkers.h
@@ -26,7 +26,7 @@
     /// Called about every 10 ms: advances runs and leases, responds to polls, checks the invariants.
     void advance(TimePoint now);
 
-    /// A worker ends without leaving; its next incarnation starts after `downTime`.
+    /// A worker ends without leaving; its next incarnation starts under the same id after `downTime`.
     void crash(size_t worker, TimePoint now, Duration downTime);
     /// Until this time, a share of the start and stop requests gets no response and is executed 2 to 6 s later.
     void delayRunRequests(double share, TimePoint until);
@@ -75,6 +75,8 @@
     std::unique_ptr<HttpServer> m_permission;
     Endpoint m_permissionEndpoint;
     TimePoint m_lastAdvance;
+    /// Whether responses to start and stop requests name the incarnation; by the seed.
+    bool m_namesIncarnation;
     double m_delayedShare { 0 };
     TimePoint m_delayUntil;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -41,6 +41,7 @@
     for (int i = 0; i < 3; ++i)
         m_hosts.push_back(std::make_unique<Host>(m_settings, *m_observer));
     const bool namesIncarnation = m_random() % 2 == 0;
+    const WorkerClockMs firstReading = static_cast<WorkerClockMs>(m_random() % 2 * 1000);
     for (size_t i = 0; i < workerCount; ++i) {
         auto profile = samples::profile(("w" + std::to_string(i)).c_str(), 1, 4000);
         // Up to 2% slow, the maximum for the platform's workers.
@@ -52,6 +53,7 @@
         // Few, so that most lists of ends are cut short.
         m_workers.back()->setMaxListedEnds(2);
         m_workers.back()->setNamesIncarnation(namesIncarnation);
+        m_workers.back()->setFirstReading(firstReading);
     }
     m_log.push_back(encodeCommands({ ReplaceTable { samples::table(1) } }));
     elect(0);
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -41,14 +41,16 @@
 
     SimulatedWorker(WorkerProfile, double clockRate, TimePoint now, FindBehaviour);
 
-    /// Starts a new incarnation with the same id and without any state of the old one. Its clock starts at `now`. The
-    /// start times by the wall clock, which may have been put back, need not ascend.
+    /// Starts a new incarnation with the same id and without any state of the old one. Its clock starts anew at `now`.
+    /// The start times by the wall clock, which may have been put back, need not ascend.
     void restart(TimePoint now, int64_t startTimeMs);
     void restart(TimePoint now) { restart(now, m_profile.incarnation.startTimeMs + 1); }
 
     /// Changes the capacity that the next reports announce.
     void setCapacity(const Resources& capacity) { m_profile.capacity = capacity; }
     void setMaxListedEnds(size_t count) { m_maxListedEnds = count; }
+    /// Reading with which the clock of each incarnation starts.
+    void setFirstReading(WorkerClockMs reading) { m_firstReading = reading; }
     /// Whether responses to start and stop requests name the incarnation, which the platform does not require.
     void setNamesIncarnation(bool isNamed) { m_namesIncarnation = isNamed; }
 
@@ -83,6 +85,7 @@
 
     WorkerProfile m_profile;
     double m_clockRate;
+    WorkerClockMs m_firstReading { 0 };
     TimePoint m_startedAt;
     FindBehaviour m_findBehaviour;
     uint64_t m_fence { 0 };
