Send no start without a token to a worker that may have just vanished

Cause: its start went to a worker that had vanished without a sign less than 4 s after its last report. Without a permission token, an unanswered start keeps its task for the longest delay of a start and a lease, 22 s, because a restarted worker may have executed it and been cut off; nothing proves otherwise.

Change: a start without a token is sent only if its worker has responded less than 100 ms before the placement, or since. Otherwise the worker is probed, while the placement is being committed if possible, and a worker that leaves two calls unanswered loses the task at once. Such a start is repeated only after a later response of the worker.

The random schedules have permissions on half of the seeds, granted for the incarnation that runs when the service answers. The planner's tests say that their workers have responded, as their flag for it already did.

--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -18,6 +18,9 @@
 /// While a worker leaves calls unanswered, a start is retried for this long; then a poll must succeed first. Covers a
 /// broken connection, which the next attempt replaces.
 constexpr Duration startRetryWindow = 2s;
+/// A worker that responded this recently before a placement gets its start without a probe: the end that freed the
+/// capacity was listed and committed within this time.
+constexpr Duration maxAgeOfSignOfLife = 100ms;
 
 } // namespace
 
@@ -332,8 +335,34 @@
         .maxWait = mayWait ? m_settings.pollWait : Duration(0) });
 }
 
+// An unacknowledged start without a permission token keeps its task from other workers for the longest execution delay
+// and a whole lease. A worker that has only just vanished must not get one.
+bool RunController::hasSignOfLife(const TrackedRun& run, const TrackedWorker& worker, TimePoint now)
+{
+    // Before its first response, the planner places nothing on a worker.
+    if (!run.permissionToken.empty() || !worker.hasConfirmedFence)
+        return true;
+    if (run.phase == TrackedRun::Phase::Sent)
+        return worker.lifetime.wasRunningAt(run.sentAt);
+    const TimePoint placedAt = run.phase == TrackedRun::Phase::Proposed ? now : run.startedAt;
+    return worker.lifetime.wasRunningAt(placedAt - maxAgeOfSignOfLife);
+}
+
+void RunController::probe(TrackedWorker& worker, TimePoint now, Requests& requests)
+{
+    if (worker.isProbeInFlight || now < worker.backoffEnd)
+        return;
+    worker.isProbeInFlight = true;
+    requests.polls.push_back({ .incarnation = worker.incarnation(), .fence = m_fence, .isProbe = true });
+}
+
 void RunController::advanceRun(TrackedRun& run, TimePoint now, Requests& requests)
 {
+    TrackedWorker* proposedWorker
+        = run.phase == TrackedRun::Phase::Proposed ? m_workerTracker.find(run.incarnation) : nullptr;
+    // The response arrives while the placement is committed.
+    if (proposedWorker && !hasSignOfLife(run, *proposedWorker, now))
+        probe(*proposedWorker, now, requests);
     if (!run.maySend() || run.isCallInFlight || now < run.nextAttemptAt)
         return;
     TrackedWorker* worker = m_workerTracker.find(run.incarnation);
@@ -358,6 +387,8 @@
     if (run.phase == TrackedRun::Phase::Sent && worker->consecutiveFailedCalls
         && (now < worker->backoffEnd || now - run.startedAt > startRetryWindow))
         return;
+    if (!hasSignOfLife(run, *worker, now))
+        return probe(*worker, now, requests);
     const WorkflowRecord* record = m_state.find(run.run.task.step.workflow);
     const TaskRecord* task = record ? record->find(run.run.task) : nullptr;
     // A retry to a worker that does not respond keeps its lease end. With a new lease per retry, the run would never
@@ -366,6 +397,7 @@
     if (!task || !until)
         return;
     run.phase = TrackedRun::Phase::Sent;
+    run.sentAt = now;
     run.leaseUntil = until;
     run.isCallInFlight = true;
     if (!worker->pendingStartSince)
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -133,6 +133,9 @@
     void moveToNextIncarnation(TrackedRun&, TrackedWorker& next, TimePoint now);
     void checkGangs(TimePoint now);
     void advanceRun(TrackedRun&, TimePoint now, Requests&);
+    /// True if a start of the run may be sent without hearing from its worker first.
+    static bool hasSignOfLife(const TrackedRun&, const TrackedWorker&, TimePoint now);
+    void probe(TrackedWorker&, TimePoint now, Requests&);
     void advanceWorker(const WorkerIncarnation&, TrackedWorker&, TimePoint now, Requests&);
     void advanceOrphans(TimePoint now, Requests&);
     static RunOutcome outcomeOnLostWorker(const TrackedRun&, const TrackedWorker&);
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -104,7 +104,7 @@
     TrackedWorker* worker = m_workerTracker.find(request.incarnation);
     if (!worker)
         return;
-    worker->isPollInFlight = false;
+    (request.isProbe ? worker->isProbeInFlight : worker->isPollInFlight) = false;
     const bool isNamed = response && response->startTimeMs;
     const bool isNamedOther = isNamed && *response->startTimeMs != request.incarnation.startTimeMs;
     const bool isOther = isNamedOther
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -48,6 +48,7 @@
     bool isStopRequested { false };
     std::string permissionToken;
     std::optional<WorkerClockMs> leaseUntil; // Lease end of the latest start; missing until one was sent.
+    TimePoint sentAt; // When the latest start was sent.
     TimePoint nextAttemptAt;
     /// When the response to a start or stop, or a report with the run, was received. Polls sent later must list the run
     /// if it exists; earlier polls may have overtaken the request on their way to the worker.
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -43,6 +43,7 @@
     bool hasMovedRuns { false }; // Runs of an earlier incarnation may be here; the next complete list decides.
     bool hasMoreEnds { false }; // As in the latest poll response.
     bool isPollInFlight { false };
+    bool isProbeInFlight { false };
     TimePoint nextPollAt;
     uint64_t lastReceivedEnd { 0 }; // Highest end number received.
     uint64_t lastRecordedEnd { 0 }; // Ends up to this number are committed.
--- a/src/workflow/WorkerRequests.h
+++ b/src/workflow/WorkerRequests.h
@@ -37,6 +37,8 @@
     uint64_t lastRecordedEnd { 0 }; // Ends up to this number are committed; the worker drops them.
     std::optional<WorkerClockMs> leaseUntil; // Missing until a response has shown the worker's clock.
     Duration maxWait { 0 }; // The worker responds at the next end, but after this time at the latest.
+    /// Sent besides the regular polls, to see whether the worker responds.
+    bool isProbe { false };
 };
 
 /// Result of a start or stop request.
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -14,6 +14,7 @@
 constexpr size_t workerCount = 5;
 /// Shortest time for which a worker that restarts is down.
 constexpr Duration shortestRestart = 200ms;
+constexpr Duration permissionValidity = 2500ms;
 /// The platform's rule: after three workers have crashed under a task, it must not be started three times more.
 constexpr uint32_t crashesBeforeLimit = 3;
 constexpr size_t maxRunsAfterCrashes = 3;
@@ -55,7 +56,11 @@
         m_workers.back()->setNamesIncarnation(namesIncarnation);
         m_workers.back()->setFirstReading(firstReading);
     }
-    m_log.push_back(encodeCommands({ ReplaceTable { samples::table(1) } }));
+    QueueTable table = samples::table(1);
+    // On half of the seeds, tasks of one queue need a permission that is valid for one incarnation.
+    table.queues[0].permission
+        = { .isNeeded = m_random() % 2 == 0, .perCall = 10ms, .perWorker = 1ms, .validity = permissionValidity };
+    m_log.push_back(encodeCommands({ ReplaceTable { table } }));
     elect(0);
 }
 
@@ -345,6 +350,8 @@
     if (!commands.empty())
         commit(std::move(commands), output.batch);
     auto& scheduler = host.scheduler;
+    for (const auto& request : output.permissionRequests)
+        grantPermissions(request);
     for (const auto& request : output.requests.starts)
         send(request, &SimulatedWorker::start, RunResponse {},
             [this, &scheduler, request, sentAt = m_now](
@@ -360,6 +367,23 @@
             });
 }
 
+// The service grants by the id of a worker, for the incarnation that is running when it responds.
+void ClusterSimulation::grantPermissions(const PermissionRequest& request)
+{
+    const uint64_t term = m_term;
+    schedule(request.estimatedCallTime, [this, term, request] {
+        PermissionResponse response { .granted = {}, .validity = permissionValidity };
+        for (const auto& id : request.workers) {
+            const SimulatedWorker* worker = findWorker({ .worker = id, .startTimeMs = 0, .address = {} });
+            response.granted.push_back({ .worker = id, .token = worker->permissionToken(m_now + permissionValidity) });
+        }
+        schedule(delay(), [this, term, request, response] {
+            if (term == m_term)
+                m_hosts[m_leader]->scheduler.onPermissionResponse(request, response, m_now);
+        });
+    });
+}
+
 void ClusterSimulation::reportWorkers()
 {
     for (auto& worker : m_workers) {
--- a/tests/workflow/ClusterSimulation.h
+++ b/tests/workflow/ClusterSimulation.h
@@ -56,6 +56,7 @@
     void injectFaults();
     void elect(size_t host);
     void advanceLeader();
+    void grantPermissions(const PermissionRequest&);
     void commit(std::vector<WorkflowCommand>, uint64_t batch);
     void apply(Host&);
     template <typename Request, typename Response, typename Handler>
--- a/tests/workflow/PlannerTest.cpp
+++ b/tests/workflow/PlannerTest.cpp
@@ -62,7 +62,9 @@
         report.sequence = 1;
         report.clock = 1000;
         m_workerTracker.applyReport(report, m_now);
-        m_workerTracker.find(report.profile.incarnation)->hasConfirmedFence = true;
+        TrackedWorker& worker = *m_workerTracker.find(report.profile.incarnation);
+        worker.hasConfirmedFence = true;
+        worker.lifetime.addResponse(report.clock, m_now, m_now);
     }
 
     ReadyStep& addStep(const WorkflowId& id, const StepSpec& spec, uint32_t priority = 0, Duration slack = 10s)
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "WorkflowSamples.h"
@@ -37,6 +38,8 @@
     CPPUNIT_TEST(pollsStopAfterAResponseOfAnotherIncarnation);
     CPPUNIT_TEST(startWithPermissionIsStoppedOnTheNextIncarnation);
     CPPUNIT_TEST(unacknowledgedStartOutlivesTheLeaseOfASilentWorker);
+    CPPUNIT_TEST(startWithoutATokenNeedsASignOfLife);
+    CPPUNIT_TEST(taskOfAVanishedWorkerIsPlacedElsewhere);
     CPPUNIT_TEST(permissionBoundsALateStart);
     CPPUNIT_TEST(lateReportOfAnOldIncarnationIsIgnored);
     CPPUNIT_TEST(workerReplacedAtItsAddressLosesItsRuns);
@@ -333,7 +336,7 @@
         // The worker idles, and starts again without a word.
         const auto second = samples::run(samples::firstId, 0, 1);
         m_now += 1s;
-        place(second);
+        placeWithPermission(second);
         requests = advance();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.starts.size());
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
@@ -843,18 +846,18 @@
         CPPUNIT_ASSERT(RunOutcome::WorkerCrashed == m_runController.drainEnds().at(0).outcome);
     }
 
-    void placeWithPermission()
+    void placeWithPermission(const RunRef& run)
     {
         QueueTable table = samples::table();
         table.queues[0].permission = { .isNeeded = true, .perCall = 10ms, .perWorker = 1ms, .validity = tokenValidity };
         apply({ ReplaceTable { table } });
         const auto& spec = m_state.find(samples::firstId)->spec.steps[0];
-        m_runController.addProposedRun(m_run, samples::incarnation("w"), spec, 0, "ticket");
+        m_runController.addProposedRun(run, samples::incarnation("w"), spec, 0, "ticket");
         PlaceRuns command;
         command.incarnations = { samples::incarnation("w") };
-        command.entries = { { .run = m_run, .incarnationIndex = 0 } };
+        command.entries = { { .run = run, .incarnationIndex = 0 } };
         apply({ command });
-        m_runController.onPlacementCommitted(m_run, true, m_now);
+        m_runController.onPlacementCommitted(run, true, m_now);
     }
 
     // Guards against two runs of one task: the worker restarted while its token was on the way, so the token was for
@@ -862,7 +865,7 @@
     void startWithPermissionIsStoppedOnTheNextIncarnation()
     {
         begin();
-        placeWithPermission();
+        placeWithPermission(m_run);
         respond(start(), WorkerRequestStatus::NoResponse);
         report("w", 2);
         const auto requests = advance();
@@ -904,11 +907,65 @@
         CPPUNIT_ASSERT(lost <= lastRun + m_settings.leaseMargin + 200ms);
     }
 
+    // Guards against a task that waits for 22 s beside idle workers, because its start went to a worker that had just
+    // vanished. review/8.
+    void startWithoutATokenNeedsASignOfLife()
+    {
+        beginOnWorkerOfAge(10s, 2);
+        acknowledge(start(), firstStart());
+        m_now += 1s;
+        // The long poll will tell too late.
+        const auto second = samples::run(samples::firstId, 0, 1);
+        place(second);
+        auto requests = advance();
+        CPPUNIT_ASSERT(requests.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        CPPUNIT_ASSERT(Duration(0) == requests.polls[0].maxWait);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, requests.polls[0].lastRecordedEnd);
+        CPPUNIT_ASSERT(advance().polls.empty());
+        respondToPoll(requests.polls[0], { { .run = m_run, .checkpoint = {} } });
+        requests = advance();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.starts.size());
+        CPPUNIT_ASSERT(requests.starts[0].run == second);
+        // The same for a retry: it would extend the time for which the task has to wait.
+        respond(requests.starts[0], WorkerRequestStatus::NoResponse);
+        m_now += 1s;
+        requests = advance();
+        CPPUNIT_ASSERT(requests.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, requests.polls.size());
+        respondToPoll(requests.polls[0], { { .run = m_run, .checkpoint = {} } });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, advance().starts.size());
+    }
+
+    // Guards against the same: a worker that does not respond gets no start, and its task goes elsewhere.
+    void taskOfAVanishedWorkerIsPlacedElsewhere()
+    {
+        beginOnWorkerOfAge(10s);
+        // Before the report that the placement relied on has aged, the worker is gone.
+        m_now += 2s;
+        std::vector<EndRuns::Entry> ends;
+        const TimePoint placedAt = m_now;
+        const auto second = samples::run(samples::secondId, 0, 0);
+        apply({ samples::accept(samples::secondId, { samples::step(1) }) });
+        place(second);
+        for (; m_now < placedAt + 5s && ends.empty(); m_now += 100ms) {
+            const auto requests = advance();
+            CPPUNIT_ASSERT(std::none_of(requests.starts.begin(), requests.starts.end(),
+                [&](const StartRunRequest& request) { return request.run == second; }));
+            m_now += 700ms;
+            for (const auto& request : requests.polls)
+                m_runController.onPollResponse(request, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
+            ends = m_runController.drainEnds();
+        }
+        CPPUNIT_ASSERT(std::any_of(ends.begin(), ends.end(),
+            [&](const EndRuns::Entry& end) { return end.run == second && end.outcome == RunOutcome::NeverStarted; }));
+    }
+
     // Guards against a task that waits longer than needed: no incarnation accepts an expired token.
     void permissionBoundsALateStart()
     {
         begin();
-        placeWithPermission();
+        placeWithPermission(m_run);
         const Duration lost = timeUntilLost();
         const Duration lastRun = tokenValidity + WorkerClock::maxRealTime(m_settings.maxLease);
         CPPUNIT_ASSERT(lost >= lastRun);
--- a/tests/workflow/SimulatedWorker.cpp
+++ b/tests/workflow/SimulatedWorker.cpp
@@ -62,11 +62,26 @@
         end(m_runs.begin()->first, RunOutcome::Lost, m_runs.begin()->second.checkpoint);
 }
 
+std::string SimulatedWorker::permissionToken(TimePoint expiresAt) const
+{
+    return std::to_string(m_profile.incarnation.startTimeMs) + "|"
+        + std::to_string(expiresAt.time_since_epoch().count());
+}
+
+bool SimulatedWorker::isValid(const std::string& token, TimePoint now) const
+{
+    const auto separator = token.find('|');
+    return token.substr(0, separator) == std::to_string(m_profile.incarnation.startTimeMs)
+        && now.time_since_epoch().count() < std::stoll(token.substr(separator + 1));
+}
+
 RunResponse SimulatedWorker::start(const StartRunRequest& request, TimePoint now)
 {
     checkLease(now);
     if (request.fence < m_fence)
         return respond(WorkerRequestStatus::Fenced, now);
+    if (!request.permissionToken.empty() && !isValid(request.permissionToken, now))
+        return respond(WorkerRequestStatus::NoPermission, now);
     m_fence = request.fence;
     const auto present = m_runs.find(request.run.task);
     const auto ended = m_highestEnded.find(request.run.task);
--- a/tests/workflow/SimulatedWorker.h
+++ b/tests/workflow/SimulatedWorker.h
@@ -54,6 +54,9 @@
     /// Whether responses to start and stop requests name the incarnation, which the platform does not require.
     void setNamesIncarnation(bool isNamed) { m_namesIncarnation = isNamed; }
 
+    /// Permission token for a start on this incarnation, valid until `expiresAt`.
+    std::string permissionToken(TimePoint expiresAt) const;
+
     RunResponse start(const StartRunRequest&, TimePoint now);
     RunResponse stop(const StopRunRequest&, TimePoint now);
     Expected<PollResponse> poll(const PollRequest&, TimePoint now);
@@ -80,6 +83,7 @@
 private:
     void end(const TaskRef&, RunOutcome, const std::string& checkpoint);
     void checkLease(TimePoint now);
+    bool isValid(const std::string& permissionToken, TimePoint now) const;
     void renew(WorkerClockMs until, TimePoint now);
     RunResponse respond(WorkerRequestStatus, TimePoint now) const;
 
