Give workers with long-running tasks a lease of 8 s

Cause: every run got the longest lease that workers keep, 10 s, and the run of a silent worker ends with it.

Change: workers with a long-running task get leases of 8 s. That still outlives a cut of 6 s with a renewal a second before, and makes a loss certain after 8.3 s. Other work keeps 10 s.

--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -99,6 +99,7 @@
         return;
     WorkerTracker::allocate(*worker, run.run.task.step, run.spec);
     worker->suspectRuns += run.isSuspect ? 1 : 0;
+    worker->longRunningRuns += run.spec.isLongRunning ? 1 : 0;
 }
 
 void RunController::releaseCapacity(const TrackedRun& run)
@@ -106,6 +107,7 @@
     if (TrackedWorker* worker = m_workerTracker.find(run.incarnation)) {
         WorkerTracker::release(*worker, run.run.task.step, run.spec);
         worker->suspectRuns -= run.isSuspect ? 1 : 0;
+        worker->longRunningRuns -= run.spec.isLongRunning ? 1 : 0;
     }
     const auto entry = m_runsByIncarnation.find(run.incarnation);
     entry->second.erase(run.run);
@@ -259,7 +261,9 @@
     const WorkerClock& clock = worker.lifetime.clock();
     if (!clock.isKnown())
         return std::nullopt;
-    const WorkerClockMs until = clock.lowerBound(now) + m_settings.maxLease / 1ms;
+    const Duration lease
+        = worker.longRunningRuns ? std::min(m_settings.longRunningLease, m_settings.maxLease) : m_settings.maxLease;
+    const WorkerClockMs until = clock.lowerBound(now) + lease / 1ms;
     // Upper bound for every run that this incarnation starts or renews by this request, no matter when.
     worker.leaseEnd = std::max(worker.leaseEnd, clock.latestTimeOf(until) + m_settings.leaseMargin);
     return until;
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -33,6 +33,7 @@
     Resources used;
     /// Runs of tasks that may have crashed another worker.
     uint32_t suspectRuns { 0 };
+    uint32_t longRunningRuns { 0 };
     /// For StepSpec::maxPerWorker.
     std::map<StepRef, uint32_t> taskCountByStep;
 
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(pollConfirmsNoEndsWhileAStartIsUnattributed);
     CPPUNIT_TEST(workerThatHasJustRespondedGetsItsEndsConfirmed);
     CPPUNIT_TEST(silentWorkerLosesRunsOnlyAfterItsLease);
+    CPPUNIT_TEST(lastingTaskOfASilentWorkerIsFreeWithinItsBound);
     CPPUNIT_TEST(failedPollsDoNotRenewTheLease);
     CPPUNIT_TEST(startThatCannotBeSentIsAbandoned);
     CPPUNIT_TEST(retriedStartsDoNotRenewTheLease);
@@ -393,6 +394,38 @@
         CPPUNIT_ASSERT(m_runController.drainEnds().front().outcome == RunOutcome::Lost);
     }
 
+    // Guards against a task that lasts and has no run for longer than the 9 s that the platform allows. review/9.
+    void lastingTaskOfASilentWorkerIsFreeWithinItsBound()
+    {
+        m_runController.takeOverRuns(7, m_now);
+        report("w");
+        auto step = samples::step(1);
+        step.isLongRunning = true;
+        apply({ samples::accept(samples::firstId, { step }) });
+        respondToPoll(advance().polls.at(0), {});
+        place(m_run);
+        acknowledge(start(), firstStart());
+        respondToPoll(m_poll, { { .run = m_run, .checkpoint = {} } });
+        // Longer than a lease, so that polls have renewed it.
+        for (const TimePoint until = m_now + 20s; m_now < until; m_now += 500ms) {
+            for (const auto& request : advance().polls)
+                respondToPoll(request, { { .run = m_run, .checkpoint = {} } });
+        }
+        const TimePoint lostAt = m_now;
+        std::vector<EndRuns::Entry> ends;
+        for (; m_now < lostAt + 30s && ends.empty(); m_now += 50ms) {
+            for (const auto& request : advance().polls)
+                m_runController.onPollResponse(request, makeError(ErrorCode::Timeout, "no response"), m_now, m_now);
+            ends = m_runController.drainEnds();
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, ends.size());
+        CPPUNIT_ASSERT(RunOutcome::Lost == ends[0].outcome);
+        // Leaves time for the next placement.
+        CPPUNIT_ASSERT(m_now - lostAt <= 8500ms);
+        // A cut of 6 s must not end the run, though the last renewal may be a second old.
+        CPPUNIT_ASSERT(m_now - lostAt >= 7s);
+    }
+
     // Guards against runs on a lost worker that are never started elsewhere, because each attempted poll postponed the
     // end of their lease.
     void failedPollsDoNotRenewTheLease()
