Send overdue requests to workers again, and judge a worker by all of its answers

Cause: a start without an answer waited for its timeout of 500 ms and 150 ms more before it was sent again. Each timeout counted as a failed call of the worker, which got no work until a poll succeeded, though it answered its other calls. Ends stayed unknown until a lost long poll timed out.

Change: a response is overdue at twice the time that all but one in a hundred took in the last second. Overdue starts and stops are sent again at once, up to five copies, bounded by the responses that arrive; overdue polls are followed by a probe, and polls wait for 0.2 s while the cell loses requests. A request that fails says nothing about a worker that was certainly running after it was sent. LatencyHistogram moves to the core, where the scheduler uses it.

--- a/bench/net/HttpBench.cpp
+++ b/bench/net/HttpBench.cpp
@@ -3,7 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "app/LatencyHistogram.h"
+#include "core/LatencyHistogram.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
--- a/src/app/LoadReport.h
+++ b/src/app/LoadReport.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "app/LatencyHistogram.h"
+#include "core/LatencyHistogram.h"
 
 namespace hickoryknot {
 
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -347,6 +347,8 @@
     metrics.set(metrics.gauge("hickoryknot_starts_unattributed",
                     "Starts whose acknowledgement did not show which incarnation executed them"),
         static_cast<double>(m_scheduler.runController().unattributedStarts()));
+    metrics.set(metrics.gauge("hickoryknot_requests_copied", "Copies of overdue starts, stops and polls"),
+        static_cast<double>(m_scheduler.runController().copiesSent()));
     metrics.set(metrics.gauge("hickoryknot_steps_ready", "Steps with tasks that wait for a worker"),
         static_cast<double>(m_scheduler.readyStepCount()));
     metrics.set(metrics.gauge("hickoryknot_log_index", "Last entry of the replicated log"),
--- a/src/app/LatencyHistogram.cpp
+++ b/src/core/LatencyHistogram.cpp
@@ -1,4 +1,4 @@
-#include "app/LatencyHistogram.h"
+#include "core/LatencyHistogram.h"
 
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
@@ -31,6 +31,7 @@
 
 LatencyHistogram::~LatencyHistogram() = default;
 LatencyHistogram::LatencyHistogram(LatencyHistogram&&) noexcept = default;
+LatencyHistogram& LatencyHistogram::operator=(LatencyHistogram&&) noexcept = default;
 
 void LatencyHistogram::add(Duration latency)
 {
--- a/src/app/LatencyHistogram.h
+++ b/src/core/LatencyHistogram.h
@@ -13,6 +13,7 @@
     LatencyHistogram();
     ~LatencyHistogram();
     LatencyHistogram(LatencyHistogram&&) noexcept;
+    LatencyHistogram& operator=(LatencyHistogram&&) noexcept;
 
     void add(Duration);
     uint64_t count() const { return m_count; }
--- a/src/workflow/IncarnationLifetime.h
+++ b/src/workflow/IncarnationLifetime.h
@@ -21,8 +21,9 @@
     /// request was sent after `sentAt`.
     MessageSender senderOf(std::optional<WorkerClockMs>, TimePoint sentAt, TimePoint receivedAt) const;
 
-    /// True if the incarnation was certainly still running at this time.
+    /// True if the incarnation was certainly still running at, or after, this time.
     bool wasRunningAt(TimePoint time) const { return m_runningUntil && *m_runningUntil >= time; }
+    bool wasRunningAfter(TimePoint time) const { return m_runningUntil && *m_runningUntil > time; }
     const WorkerClock& clock() const { return m_clock; }
 
 private:
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -21,6 +21,9 @@
 /// A worker that responded this recently before a placement gets its start without a probe: the end that freed the
 /// capacity was listed and committed within this time.
 constexpr Duration maxAgeOfSignOfLife = 100ms;
+/// Copies of one request that may be without a response at the same time. If half of all requests are lost, one of 32
+/// loses all of them.
+constexpr uint32_t maxCopies = 5;
 
 } // namespace
 
@@ -242,7 +245,7 @@
 // run arrives first.
 void RunController::onStartRejected(TrackedRun& run, TimePoint now)
 {
-    if (!run.hasUnacknowledgedStart)
+    if (!run.hasUnacknowledgedStart && !run.callsInFlight)
         return finish(run, RunOutcome::NeverStarted, {}, now);
     run.isStopRequested = true;
     run.phase = TrackedRun::Phase::Stopping;
@@ -305,12 +308,17 @@
 {
     const bool hasRuns = !worker.taskCountByStep.empty();
     const bool isOver
-        = (worker.leavingSince && now - *worker.leavingSince > leavingGracePeriod && !worker.isPollInFlight)
+        = (worker.leavingSince && now - *worker.leavingSince > leavingGracePeriod && !worker.pollsInFlight)
         || worker.isSuperseded;
     if (hasRuns)
         endLostRuns(incarnation, worker, isOver, now);
-    if (isOver || worker.isPollInFlight || now < worker.nextPollAt)
+    if (isOver || now < worker.nextPollAt)
         return;
+    if (worker.pollOverdueAt) {
+        if (now >= *worker.pollOverdueAt)
+            probe(worker, now, requests);
+        return;
+    }
     const bool hasOrphans = std::any_of(m_orphans.begin(), m_orphans.end(),
         [&](const auto& orphan) { return orphan.second.incarnation == incarnation; });
     const bool needsResponse = worker.isInDoubt || (worker.isProfileKnown && !worker.hasConfirmedFence);
@@ -331,12 +339,16 @@
     // respond therefore gets no renewals; otherwise its runs could never be started elsewhere.
     const bool isRenewing = hasRuns && !worker.consecutiveFailedCalls;
     const uint64_t confirmedEnd = mayConfirmEnds(incarnation, worker, now) ? worker.lastRecordedEnd : 0;
-    worker.isPollInFlight = true;
+    const Duration longWait = m_responseTimes.isLossy(now) ? m_settings.lossyPollWait : m_settings.pollWait;
+    const Duration maxWait = mayWait ? longWait : Duration(0);
+    ++worker.pollsInFlight;
+    worker.pollSentAt = now;
+    worker.pollOverdueAt = now + maxWait + m_responseTimes.overdueAfter(now);
     requests.polls.push_back({ .incarnation = incarnation,
         .fence = m_fence,
         .lastRecordedEnd = confirmedEnd,
         .leaseUntil = isRenewing ? extendLease(worker, now) : std::nullopt,
-        .maxWait = mayWait ? m_settings.pollWait : Duration(0) });
+        .maxWait = maxWait });
 }
 
 // An unacknowledged start without a permission token keeps its task from other workers for the longest execution delay
@@ -347,19 +359,31 @@
     if (!run.permissionToken.empty() || !worker.hasConfirmedFence)
         return true;
     if (run.phase == TrackedRun::Phase::Sent)
-        return worker.lifetime.wasRunningAt(run.sentAt);
+        return worker.lifetime.wasRunningAfter(run.sentAt);
     const TimePoint placedAt = run.phase == TrackedRun::Phase::Proposed ? now : run.startedAt;
     return worker.lifetime.wasRunningAt(placedAt - maxAgeOfSignOfLife);
 }
 
 void RunController::probe(TrackedWorker& worker, TimePoint now, Requests& requests)
 {
-    if (worker.isProbeInFlight || now < worker.backoffEnd)
+    const bool isWaiting = worker.probeOverdueAt && now < *worker.probeOverdueAt;
+    if (isWaiting || now < worker.backoffEnd || worker.pollsInFlight >= maxCopies)
         return;
-    worker.isProbeInFlight = true;
+    if (worker.pollsInFlight && !m_resendBudget.take(now))
+        return;
+    ++worker.pollsInFlight;
+    worker.probeOverdueAt = now + m_responseTimes.overdueAfter(now);
     requests.polls.push_back({ .incarnation = worker.incarnation(), .fence = m_fence, .isProbe = true });
 }
 
+bool RunController::maySendNow(const TrackedRun& run, const TrackedWorker& worker, TimePoint now)
+{
+    if (!run.callsInFlight)
+        return now >= run.nextAttemptAt;
+    const bool isOverdue = now - run.sentAt >= m_responseTimes.overdueAfter(now);
+    return isOverdue && run.callsInFlight < maxCopies && !worker.consecutiveFailedCalls && m_resendBudget.take(now);
+}
+
 void RunController::advanceRun(TrackedRun& run, TimePoint now, Requests& requests)
 {
     TrackedWorker* proposedWorker
@@ -367,13 +391,12 @@
     // The response arrives while the placement is committed.
     if (proposedWorker && !hasSignOfLife(run, *proposedWorker, now))
         probe(*proposedWorker, now, requests);
-    if (!run.maySend() || run.isCallInFlight || now < run.nextAttemptAt)
-        return;
     TrackedWorker* worker = m_workerTracker.find(run.incarnation);
-    if (!worker || run.isInherited)
+    if (!run.maySend() || !worker || run.isInherited || !maySendNow(run, *worker, now))
         return;
     if (run.phase == TrackedRun::Phase::Stopping) {
-        run.isCallInFlight = true;
+        ++run.callsInFlight;
+        run.sentAt = now;
         requests.stops.push_back({ .incarnation = run.incarnation, .run = run.run, .fence = m_fence });
         return;
     }
@@ -403,7 +426,7 @@
     run.phase = TrackedRun::Phase::Sent;
     run.sentAt = now;
     run.leaseUntil = until;
-    run.isCallInFlight = true;
+    ++run.callsInFlight;
     if (!worker->pendingStartSince)
         worker->pendingStartSince = now;
     if (run.isGang) {
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "workflow/MessageSender.h"
+#include "workflow/ResendBudget.h"
+#include "workflow/ResponseTimes.h"
 #include "workflow/SchedulerSettings.h"
 #include "workflow/TrackedRun.h"
 #include "workflow/WorkerRequests.h"
@@ -84,6 +86,8 @@
     std::vector<MovedRun> drainMovedRuns();
     /// Starts whose acknowledgement did not show, when it arrived, which incarnation executed them.
     uint64_t unattributedStarts() const { return m_unattributedStarts; }
+    /// Copies of overdue starts, stops and polls.
+    uint64_t copiesSent() const { return m_resendBudget.taken(); }
 
     const TrackedRun* find(const RunRef&) const;
     const std::map<RunRef, TrackedRun>& runs() const { return m_runs; }
@@ -136,6 +140,9 @@
     /// True if a start of the run may be sent without hearing from its worker first.
     static bool hasSignOfLife(const TrackedRun&, const TrackedWorker&, TimePoint now);
     void probe(TrackedWorker&, TimePoint now, Requests&);
+    /// True if a start or stop may be sent now: the first, a retry, or a copy of an overdue one.
+    bool maySendNow(const TrackedRun&, const TrackedWorker&, TimePoint now);
+    void onResponseTime(Duration, TimePoint now);
     void advanceWorker(const WorkerIncarnation&, TrackedWorker&, TimePoint now, Requests&);
     void advanceOrphans(TimePoint now, Requests&);
     static RunOutcome outcomeOnLostWorker(const TrackedRun&, const TrackedWorker&);
@@ -143,7 +150,9 @@
     void handleReportedRuns(TrackedWorker&, const PollResponse&, TimePoint sentAt, TimePoint now);
     void evaluateUnreportedRuns(TrackedWorker&, const std::set<RunRef>& reported, TimePoint sentAt, TimePoint now);
     void onWorkerContact(TrackedWorker&, TimePoint now);
-    void onCallFailure(TrackedWorker&, TimePoint now);
+    /// A request that was sent after `sentAt` failed. It says nothing about a worker that has responded to later ones.
+    void onCallFailure(TrackedWorker&, TimePoint sentAt, TimePoint now);
+    void backOff(TrackedWorker&, TimePoint now);
     std::optional<WorkerClockMs> extendLease(TrackedWorker&, TimePoint now);
     const StepSpec* findSpec(const RunRef&) const;
     const Queue* findQueue(const RunRef&) const;
@@ -161,6 +170,8 @@
     std::vector<EndRuns::Entry> m_ends;
     std::set<WorkflowId> m_startedWorkflows;
     std::vector<MovedRun> m_movedRuns;
+    ResponseTimes m_responseTimes;
+    ResendBudget m_resendBudget;
     uint64_t m_unattributedStarts { 0 };
 };
 
--- a/src/workflow/RunControllerIncarnations.cpp
+++ b/src/workflow/RunControllerIncarnations.cpp
@@ -41,7 +41,7 @@
     }
     if (response.status == WorkerRequestStatus::NoResponse || response.status == WorkerRequestStatus::NotSent) {
         if (worker)
-            onCallFailure(*worker, now);
+            onCallFailure(*worker, sentAt, now);
         return MessageSender::Unknown;
     }
     if (isOther || !worker)
@@ -49,6 +49,7 @@
     const auto sender
         = response.startTimeMs ? MessageSender::Addressee : worker->lifetime.senderOf(response.clock, sentAt, now);
     onWorkerContact(*worker, now);
+    onResponseTime(now - sentAt, now);
     if (sender == MessageSender::Addressee)
         worker->lifetime.addResponse(response.clock, sentAt, now);
     // A clock alone does not end the addressed incarnation and its runs.
@@ -153,7 +154,7 @@
 void RunController::moveToNextIncarnation(TrackedRun& run, TrackedWorker& next, TimePoint now)
 {
     const bool mayStartLate = run.mayStartLate(now);
-    if (run.isCallInFlight)
+    if (run.callsInFlight)
         recordUnacknowledgedStart(run, now);
     m_orphans.erase(run.run);
     releaseCapacity(run);
@@ -161,7 +162,7 @@
     allocateCapacity(run);
     next.leaseEnd = std::max(next.leaseEnd,
         now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin);
-    run.isCallInFlight = false;
+    run.callsInFlight = 0;
     const bool isKept = run.phase == TrackedRun::Phase::Confirmed && !run.isStopRequested && !mayStartLate;
     m_movedRuns.push_back({ .run = run.run, .to = run.incarnation, .isStopped = !isKept });
     next.hasMovedRuns = next.hasMovedRuns || isKept;
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -20,7 +20,20 @@
     worker.pendingStartSince.reset();
 }
 
-void RunController::onCallFailure(TrackedWorker& worker, TimePoint now)
+void RunController::onResponseTime(Duration duration, TimePoint now)
+{
+    m_responseTimes.addResponse(duration, now);
+    m_resendBudget.onResponse();
+}
+
+void RunController::onCallFailure(TrackedWorker& worker, TimePoint sentAt, TimePoint now)
+{
+    if (worker.lifetime.wasRunningAfter(sentAt))
+        return m_responseTimes.addUnanswered(now);
+    backOff(worker, now);
+}
+
+void RunController::backOff(TrackedWorker& worker, TimePoint now)
 {
     ++worker.consecutiveFailedCalls;
     worker.pendingStartSince.reset();
@@ -37,7 +50,7 @@
     if (found == m_runs.end() || found->second.incarnation != request.incarnation)
         return;
     TrackedRun& run = found->second;
-    run.isCallInFlight = false;
+    run.callsInFlight -= run.callsInFlight ? 1 : 0;
     if (run.phase == TrackedRun::Phase::Ended)
         return;
     switch (response.status) {
@@ -51,7 +64,7 @@
         break;
     case WorkerRequestStatus::NotSent:
         // Without an earlier start that may still be executed, the task can be placed elsewhere immediately.
-        if (run.phase == TrackedRun::Phase::Sent && !run.hasUnacknowledgedStart)
+        if (run.phase == TrackedRun::Phase::Sent && !run.hasUnacknowledgedStart && !run.callsInFlight)
             return finish(run, RunOutcome::NeverStarted, {}, now);
         run.nextAttemptAt = now + m_settings.retryDelay;
         break;
@@ -60,7 +73,7 @@
         break;
     case WorkerRequestStatus::Unhealthy:
         if (TrackedWorker* worker = m_workerTracker.find(request.incarnation))
-            onCallFailure(*worker, now);
+            backOff(*worker, now);
         [[fallthrough]];
     case WorkerRequestStatus::LeaseExpired:
     case WorkerRequestStatus::NoCapacity:
@@ -89,7 +102,7 @@
     if (found == m_runs.end() || found->second.incarnation != request.incarnation)
         return;
     TrackedRun& run = found->second;
-    run.isCallInFlight = false;
+    run.callsInFlight -= run.callsInFlight ? 1 : 0;
     run.nextAttemptAt = now + m_settings.retryDelay;
     if (!isConfirmed || run.phase != TrackedRun::Phase::Stopping)
         return;
@@ -104,7 +117,14 @@
     TrackedWorker* worker = m_workerTracker.find(request.incarnation);
     if (!worker)
         return;
-    (request.isProbe ? worker->isProbeInFlight : worker->isPollInFlight) = false;
+    worker->pollsInFlight -= worker->pollsInFlight ? 1 : 0;
+    const bool isOverdue = worker->pollOverdueAt && now >= *worker->pollOverdueAt;
+    const bool isLatest = !request.isProbe && sentAt >= worker->pollSentAt;
+    // The response to a probe shows that an overdue poll is lost.
+    if (isLatest || (request.isProbe && response && isOverdue))
+        worker->pollOverdueAt.reset();
+    if (request.isProbe)
+        worker->probeOverdueAt.reset();
     const bool isNamed = response && response->startTimeMs;
     const bool isNamedOther = isNamed && *response->startTimeMs != request.incarnation.startTimeMs;
     const bool isOther = isNamedOther
@@ -118,11 +138,13 @@
         if (!response && response.error().code == ErrorCode::Conflict)
             m_workerTracker.markReplacedAtAddress(request.incarnation);
         else if (!response && response.error().code != ErrorCode::NotLeader)
-            onCallFailure(*worker, now);
+            onCallFailure(*worker, sentAt, now);
         worker->nextPollAt = std::max(now + m_settings.retryDelay, worker->backoffEnd);
         return;
     }
     onWorkerContact(*worker, now);
+    if (request.maxWait == Duration(0))
+        onResponseTime(now - sentAt, now);
     worker->lifetime.addResponse(response->clock, sentAt, now);
     m_workerTracker.onResponded(*worker);
     worker->hasConfirmedFence = true;
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -23,6 +23,8 @@
     Duration startResponseTimeout { 150ms };
     /// Maximum long-poll wait for the next end. Longer waits need fewer polls but detect a silent worker later.
     Duration pollWait { 1s };
+    /// The same while workers leave some requests unanswered. An end is unknown until the next poll that is answered.
+    Duration lossyPollWait { 200ms };
     /// Delay before a failed call is retried; several round trips within a region.
     Duration retryDelay { 150ms };
     /// Margin for the transmission of a request before a permission token expires.
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -44,11 +44,11 @@
     std::optional<TimePoint> unacknowledgedUntil;
     /// When a start was acknowledged by a response that may have come from a later incarnation than the addressed one.
     std::optional<TimePoint> unattributedSince;
-    bool isCallInFlight { false };
+    uint32_t callsInFlight { 0 }; // Starts or stops without a response; several if a response is overdue.
     bool isStopRequested { false };
     std::string permissionToken;
     std::optional<WorkerClockMs> leaseUntil; // Lease end of the latest start; missing until one was sent.
-    TimePoint sentAt; // When the latest start was sent.
+    TimePoint sentAt; // When the latest start or stop was sent.
     TimePoint nextAttemptAt;
     /// When the response to a start or stop, or a report with the run, was received. Polls sent later must list the run
     /// if it exists; earlier polls may have overtaken the request on their way to the worker.
@@ -64,7 +64,7 @@
     /// Only a confirmed stop or the time excludes it.
     bool mayStartLate(TimePoint now) const
     {
-        return isCallInFlight || (unacknowledgedUntil && now < *unacknowledgedUntil);
+        return callsInFlight || (unacknowledgedUntil && now < *unacknowledgedUntil);
     }
     bool maySend() const { return phase != Phase::Proposed && phase != Phase::Ended; }
 };
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -43,8 +43,10 @@
     bool hasInheritedRuns { false }; // Some runs were placed by an earlier leader and are not yet reported to this one.
     bool hasMovedRuns { false }; // Runs of an earlier incarnation may be here; the next complete list decides.
     bool hasMoreEnds { false }; // As in the latest poll response.
-    bool isPollInFlight { false };
-    bool isProbeInFlight { false };
+    uint32_t pollsInFlight { 0 }; // With probes.
+    TimePoint pollSentAt; // Of the latest regular poll.
+    std::optional<TimePoint> pollOverdueAt; // Set while a regular poll awaits its response.
+    std::optional<TimePoint> probeOverdueAt; // Set while a probe awaits its response.
     TimePoint nextPollAt;
     uint64_t lastReceivedEnd { 0 }; // Highest end number received.
     uint64_t lastRecordedEnd { 0 }; // Ends up to this number are committed.
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -510,7 +510,7 @@
         const bool isOver = worker.isSuperseded
             || (worker.leavingSince && now - *worker.leavingSince > m_settings.contactTimeout)
             || now - worker.lastContactAt > workerRemovalAge;
-        if (isOver && worker.taskCountByStep.empty() && !worker.isPollInFlight && !worker.isProbeInFlight)
+        if (isOver && worker.taskCountByStep.empty() && !worker.pollsInFlight)
             expired.push_back(incarnation);
     }
     for (const auto& incarnation : expired) {
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -246,6 +246,10 @@
 void ClusterSimulation::injectFaults()
 {
     changeCapacities();
+    if (chance(0.0003)) {
+        m_lateShare = 0.1 + 0.2 * static_cast<double>(m_random() % 3);
+        m_lateUntil = m_now + 2s + Duration(m_random() % 10'000'000);
+    }
     if (chance(0.001))
         elect((m_leader + 1 + m_random() % 2) % m_hosts.size());
     for (auto& worker : m_workers) {
@@ -300,8 +304,8 @@
 }
 
 template <typename Request, typename Response, typename Handler>
-void ClusterSimulation::send(
-    const Request& request, Response (SimulatedWorker::*call)(const Request&, TimePoint), Response lost, Handler handle)
+void ClusterSimulation::send(const Request& request, Response (SimulatedWorker::*call)(const Request&, TimePoint),
+    Response unsent, Response lost, Handler handle)
 {
     const uint64_t term = m_term;
     auto hasResponded = std::make_shared<bool>(false);
@@ -309,11 +313,13 @@
         if (!std::exchange(*hasResponded, true) && term == m_term)
             handle(value);
     };
+    if (!m_areFaultsStopped && chance(0.01))
+        return schedule(delay(), [respond, unsent] { respond(unsent); });
     schedule(500ms, [respond, lost] { respond(lost); });
     if (m_now < m_links[request.incarnation.worker].partitionedUntil || (!m_areFaultsStopped && chance(0.01)))
         return;
     // Some requests get no response and are executed seconds later.
-    const bool isLate = !m_areFaultsStopped && chance(0.03);
+    const bool isLate = !m_areFaultsStopped && chance(m_now < m_lateUntil ? m_lateShare : 0.03);
     schedule(delay(), [this, request, call, respond, lost, isLate] {
         SimulatedWorker* worker = findWorker(request.incarnation);
         const auto& link = m_links[request.incarnation.worker];
@@ -352,16 +358,18 @@
     auto& scheduler = host.scheduler;
     for (const auto& request : output.permissionRequests)
         grantPermissions(request);
+    const RunResponse unsentRun { .status = WorkerRequestStatus::NotSent };
+    const Expected<PollResponse> noPollResponse = makeError(ErrorCode::Timeout, "no response");
     for (const auto& request : output.requests.starts)
-        send(request, &SimulatedWorker::start, RunResponse {},
+        send(request, &SimulatedWorker::start, unsentRun, RunResponse {},
             [this, &scheduler, request, sentAt = m_now](
                 const RunResponse& response) { scheduler.onStartResponse(request, response, sentAt, m_now); });
     for (const auto& request : output.requests.stops)
-        send(request, &SimulatedWorker::stop, RunResponse {},
+        send(request, &SimulatedWorker::stop, unsentRun, RunResponse {},
             [this, &scheduler, request, sentAt = m_now](
                 const RunResponse& response) { scheduler.onStopResponse(request, response, sentAt, m_now); });
     for (const auto& request : output.requests.polls)
-        send(request, &SimulatedWorker::poll, Expected<PollResponse>(makeError(ErrorCode::Timeout, "no response")),
+        send(request, &SimulatedWorker::poll, noPollResponse, noPollResponse,
             [this, &scheduler, request, sentAt = m_now](const Expected<PollResponse>& response) {
                 scheduler.onPollResponse(request, response, sentAt, m_now);
             });
--- a/tests/workflow/ClusterSimulation.h
+++ b/tests/workflow/ClusterSimulation.h
@@ -59,8 +59,10 @@
     void grantPermissions(const PermissionRequest&);
     void commit(std::vector<WorkflowCommand>, uint64_t batch);
     void apply(Host&);
+    /// `unsent`: response to a request that could not be sent; `lost`: to one that gets no response.
     template <typename Request, typename Response, typename Handler>
-    void send(const Request&, Response (SimulatedWorker::*)(const Request&, TimePoint), Response lost, Handler);
+    void send(const Request&, Response (SimulatedWorker::*)(const Request&, TimePoint), Response unsent, Response lost,
+        Handler);
     SimulatedWorker* findWorker(const WorkerIncarnation&);
     void reportWorkers();
     void advanceWorkers();
@@ -92,6 +94,9 @@
     std::map<WorkerId, uint64_t> m_sequences;
     /// Earlier capacities with the time until which they were in force.
     std::map<WorkerId, std::vector<std::pair<TimePoint, Resources>>> m_earlierCapacities;
+    /// Until this time, this share of the requests gets no response and is executed seconds later.
+    TimePoint m_lateUntil;
+    double m_lateShare { 0 };
     bool m_isExecutingLate { false };
     std::set<RunRef> m_lateRuns; // Executed seconds after the request; may exceed a capacity that has shrunk since.
     std::multiset<Event> m_events;
--- a/tests/workflow/RunControllerTest.cpp
+++ b/tests/workflow/RunControllerTest.cpp
@@ -35,6 +35,11 @@
     CPPUNIT_TEST(laterPollAttributesAStart);
     CPPUNIT_TEST(workerInDoubtIsPolledBeforeItGetsMoreWork);
     CPPUNIT_TEST(unattributedRunOutlivesTheLeaseOfASilentWorker);
+    CPPUNIT_TEST(overdueStartIsSentAgain);
+    CPPUNIT_TEST(rejectedCopyOfAnOverdueStartNeedsAStop);
+    CPPUNIT_TEST(copyThatCannotBeSentSaysNothingOfTheFirst);
+    CPPUNIT_TEST(copiesToASilentWorkerAreBounded);
+    CPPUNIT_TEST(overduePollIsFollowedByAProbe);
     CPPUNIT_TEST(endOnTheNextIncarnationCounts);
     CPPUNIT_TEST(pollsStopAfterAResponseOfAnotherIncarnation);
     CPPUNIT_TEST(startWithPermissionIsStoppedOnTheNextIncarnation);
@@ -736,6 +741,113 @@
         CPPUNIT_ASSERT(m_workerTracker.isUsable(*m_workerTracker.find(samples::incarnation("w")), m_now));
     }
 
+    // Responds to a start that was sent at `sentAt`, without naming the incarnation.
+    void respondToStart(const StartRunRequest& request, WorkerRequestStatus status, TimePoint sentAt)
+    {
+        RunResponse response { .status = status };
+        if (status != WorkerRequestStatus::NoResponse && status != WorkerRequestStatus::NotSent)
+            response.clock = clockSince(firstStart());
+        m_runController.onStartResponse(request, response, sentAt, m_now);
+    }
+
+    // Guards against tasks that wait for the timeout of a lost request, and against work that is kept from a worker
+    // that responds to all other requests.
+    void overdueStartIsSentAgain()
+    {
+        beginOnWorkerOfAge(10s);
+        const TimePoint sentAt = m_now;
+        const auto first = start();
+        CPPUNIT_ASSERT(advance().starts.empty());
+        m_now += 2ms;
+        respondToPoll(m_poll, {});
+        m_now += 150ms;
+        const auto copies = advance().starts;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, copies.size());
+        CPPUNIT_ASSERT(copies[0].run == first.run && copies[0].fence == first.fence);
+        m_now += 2ms;
+        respondToStart(copies[0], WorkerRequestStatus::Done, m_now - 2ms);
+        // The first one runs into its timeout.
+        m_now = sentAt + 500ms;
+        respondToStart(first, WorkerRequestStatus::NoResponse, sentAt);
+        const TrackedWorker& worker = *m_workerTracker.find(samples::incarnation("w"));
+        CPPUNIT_ASSERT_EQUAL(uint32_t { 0 }, worker.consecutiveFailedCalls);
+        CPPUNIT_ASSERT(m_workerTracker.isUsable(worker, m_now));
+        CPPUNIT_ASSERT(advance().starts.empty());
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        CPPUNIT_ASSERT(TrackedRun::Phase::Confirmed == m_runController.find(m_run)->phase);
+    }
+
+    // Guards against two runs of one task: the worker rejects a copy because its token has expired, and executes the
+    // first request late.
+    void rejectedCopyOfAnOverdueStartNeedsAStop()
+    {
+        beginOnWorkerOfAge(10s);
+        const auto first = start();
+        m_now += 2ms;
+        respondToPoll(m_poll, {});
+        m_now += 150ms;
+        const auto copies = advance().starts;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, copies.size());
+        respondToStart(copies[0], WorkerRequestStatus::NoPermission, m_now);
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        m_now += 150ms;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, advance().stops.size());
+    }
+
+    // Guards against the same if the copy cannot be sent, for lack of a connection, while the first request is on its
+    // way.
+    void copyThatCannotBeSentSaysNothingOfTheFirst()
+    {
+        beginOnWorkerOfAge(10s);
+        const auto first = start();
+        m_now += 2ms;
+        respondToPoll(m_poll, {});
+        m_now += 150ms;
+        const auto copies = advance().starts;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, copies.size());
+        respondToStart(copies[0], WorkerRequestStatus::NotSent, m_now);
+        CPPUNIT_ASSERT(m_runController.drainEnds().empty());
+        m_now += 2ms;
+        respondToStart(first, WorkerRequestStatus::Done, m_now - 154ms);
+        CPPUNIT_ASSERT(TrackedRun::Phase::Confirmed == m_runController.find(m_run)->phase);
+    }
+
+    // Guards against a worker that has vanished and gets one copy after the other.
+    void copiesToASilentWorkerAreBounded()
+    {
+        beginOnWorkerOfAge(10s);
+        start();
+        size_t copies = 0;
+        for (const TimePoint until = m_now + 490ms; m_now < until; m_now += 5ms) {
+            const auto requests = advance();
+            copies += requests.starts.size() + requests.polls.size();
+        }
+        CPPUNIT_ASSERT(copies <= 8);
+    }
+
+    // Guards against ends that stay unknown until a lost long poll times out.
+    void overduePollIsFollowedByAProbe()
+    {
+        beginOnWorkerOfAge(10s);
+        acknowledge(start(), firstStart());
+        m_now += m_settings.pollWait;
+        CPPUNIT_ASSERT(advance().polls.empty());
+        m_now += 150ms;
+        auto polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(Duration(0) == polls[0].maxWait);
+        CPPUNIT_ASSERT(!polls[0].leaseUntil);
+        respondToPoll(polls[0], { { .run = m_run, .checkpoint = {} } });
+        polls = advance().polls;
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
+        CPPUNIT_ASSERT(polls[0].leaseUntil);
+        // The lost one fails at last, which says nothing about the worker.
+        m_runController.onPollResponse(
+            m_poll, makeError(ErrorCode::Timeout, "no response"), m_now - m_settings.pollWait - 152ms, m_now);
+        CPPUNIT_ASSERT_EQUAL(uint32_t { 0 }, m_workerTracker.find(samples::incarnation("w"))->consecutiveFailedCalls);
+        CPPUNIT_ASSERT(advance().polls.empty());
+    }
+
     // Guards against two runs of one task: an idle worker started again, executed a start that was meant for the
     // incarnation before, and its response did not say so. The run counted as lost with that one. review/6.
     void startTakenByAnUnknownIncarnationStaysThere()
