--- a/src/state/FieldReader.h
+++ b/src/state/FieldReader.h
@@ -28,6 +28,8 @@
     void setFormat(uint64_t format) { m_format = format; }
 
     bool isOk() const { return m_isOk; }
+    /// True if there are fields that were not read yet.
+    bool hasMore() const { return m_isOk && remaining() > 0; }
     /// Marks the input as corrupt, for constraints that the caller checks.
     void fail() { m_isOk = false; }
     /// Corrupt: a field was missing, of another type or out of range, or there are more fields than were read.
--- a/src/state/VariantCodec.h
+++ b/src/state/VariantCodec.h
@@ -20,10 +20,12 @@
     return writer.finish();
 }
 
-/// Corrupt: unknown alternative, or its fields are invalid.
-template <typename Variant> Expected<Variant> decodeVariant(std::string_view bytes)
+/// Corrupt: unknown alternative, or its fields are invalid. `format` is that of the input; see FieldReader::format().
+template <typename Variant>
+Expected<Variant> decodeVariant(std::string_view bytes, uint64_t format = std::numeric_limits<uint64_t>::max())
 {
     FieldReader reader(bytes);
+    reader.setFormat(format);
     uint64_t index = 0;
     reader(index);
     Variant variant;
--- a/src/workflow/Queue.h
+++ b/src/workflow/Queue.h
@@ -37,6 +37,8 @@
     Duration targetLatency { 0 };
     Duration callTimeout { 0 };
     PermissionCost permission;
+    /// Callers need no key, and their workflows belong to no organisation.
+    bool isPublic { false };
 
     friend bool operator==(const Queue&, const Queue&) = default;
 };
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -40,6 +40,13 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+const Organisation* QueueTable::findOrganisation(const OrganisationName& name) const
+{
+    const auto found = std::find_if(
+        organisations.begin(), organisations.end(), [&](const Organisation& o) { return o.name == name; });
+    return found == organisations.end() ? nullptr : &*found;
+}
+
 Expected<void> checkQueueTable(const QueueTable& table)
 {
     if (table.document.size() > maxDocumentBytes)
--- a/src/workflow/QueueTable.h
+++ b/src/workflow/QueueTable.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/Error.h"
+#include "workflow/Organisation.h"
 #include "workflow/Queue.h"
 
 namespace hickoryknot::workflow {
@@ -15,6 +16,8 @@
     uint64_t version { 0 };
     std::vector<Queue> queues;
     std::vector<Pool> pools;
+    /// Empty: callers need no keys.
+    std::vector<Organisation> organisations;
     /// The table as written by the operator, returned on reads.
     std::string document;
 
@@ -29,6 +32,7 @@
 
     const Queue* find(const QueueName&) const;
     const Pool* findPool(const PoolName&) const;
+    const Organisation* findOrganisation(const OrganisationName&) const;
 
     friend bool operator==(const QueueTable&, const QueueTable&) = default;
 };
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -15,6 +15,7 @@
 struct ReadyStep {
     StepRef ref;
     const StepSpec* spec { nullptr }; // Points into the workflow's record; replaced whenever the workflow changes.
+    OrganisationName organisation; // Empty: none.
     Queue queue; // Current row of the queue table, or its last one if the queue was removed.
     struct Task {
         uint32_t index { 0 };
--- a/src/workflow/WorkflowCommand.h
+++ b/src/workflow/WorkflowCommand.h
@@ -28,6 +28,7 @@
     uint32_t maxAttempts { 1 };
     WorkflowSpec spec;
     int64_t acceptedMs { 0 };
+    OrganisationName organisation; // Empty: none.
 };
 
 struct CancelWorkflow {
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -8,6 +8,8 @@
 
 /// First format of snapshots with crash counts; older snapshots are read without them.
 constexpr uint64_t crashCountsFormat = 2;
+/// First format of snapshots and log entries with organisations.
+constexpr uint64_t organisationsFormat = 4;
 
 // The largest recorded value of each enumeration; larger values are rejected as corrupt.
 constexpr RunOutcome lastValueOf(RunOutcome) { return RunOutcome::WorkerMayHaveCrashed; }
@@ -15,6 +17,9 @@
 constexpr WorkflowPhase lastValueOf(WorkflowPhase) { return WorkflowPhase::Cancelled; }
 constexpr FailureCause lastValueOf(FailureCause) { return FailureCause::WorkerCrashes; }
 
+/// Factor between the weight of an organisation and its stored value.
+constexpr double weightScale = 1000;
+
 // Each overload lists the members of one structure in serialisation order.
 
 template <typename V> void visitFields(V& visit, SameAs<StepRef> auto& x) { visit(x.workflow, x.occurrence, x.step); }
@@ -38,14 +43,29 @@
 {
     visit(x.name, x.callerHost, x.urlPrefix, x.pool, x.priority, x.maxAttempts, x.stretchPermille, x.targetLatency,
         x.callTimeout, x.permission);
+    if (visit.format() >= organisationsFormat)
+        visit(x.isPublic);
 }
 template <typename V> void visitFields(V& visit, SameAs<Pool> auto& x)
 {
     visit(x.name, x.rejectsOverload, x.isStandby);
 }
+// The weight is stored in thousandths, since fields hold integers.
+inline void visitFields(FieldWriter& visit, const Organisation& x)
+{
+    visit(x.name, x.keys, static_cast<uint64_t>(x.weight * weightScale), x.limit);
+}
+inline void visitFields(FieldReader& visit, Organisation& x)
+{
+    uint64_t weight = 0;
+    visit(x.name, x.keys, weight, x.limit);
+    x.weight = static_cast<double>(weight) / weightScale;
+}
 template <typename V> void visitFields(V& visit, SameAs<QueueTable> auto& x)
 {
     visit(x.version, x.queues, x.pools, x.document);
+    if (visit.format() >= organisationsFormat)
+        visit(x.organisations);
 }
 template <typename V> void visitFields(V& visit, SameAs<WorkerIncarnation> auto& x)
 {
@@ -75,12 +95,16 @@
         x.begunOccurrences, x.finishedOccurrences, x.placed);
     if (visit.format() >= crashCountsFormat)
         visit(x.failureCause);
+    if (visit.format() >= organisationsFormat)
+        visit(x.organisation);
 }
 
 template <typename V> void visitFields(V& visit, SameAs<ReplaceTable> auto& x) { visit(x.table); }
 template <typename V> void visitFields(V& visit, SameAs<AcceptWorkflow> auto& x)
 {
     visit(x.id, x.queue, x.pool, x.maxAttempts, x.spec, x.acceptedMs);
+    if (visit.format() >= organisationsFormat)
+        visit(x.organisation);
 }
 template <typename V> void visitFields(V& visit, SameAs<CancelWorkflow> auto& x) { visit(x.id); }
 template <typename V> void visitFields(V& visit, SameAs<RemoveWorkflows> auto& x) { visit(x.ids); }
--- a/src/workflow/WorkflowIds.h
+++ b/src/workflow/WorkflowIds.h
@@ -12,6 +12,7 @@
 using WorkflowId = NamedId<struct WorkflowIdTag>;
 using QueueName = NamedId<struct QueueNameTag>;
 using PoolName = NamedId<struct PoolNameTag>;
+using OrganisationName = NamedId<struct OrganisationNameTag>;
 
 /// A step in one occurrence of a workflow.
 struct StepRef {
--- a/src/workflow/WorkflowRecord.h
+++ b/src/workflow/WorkflowRecord.h
@@ -81,6 +81,7 @@
 struct WorkflowRecord {
     WorkflowId id;
     QueueName queue;
+    OrganisationName organisation; // Whose key submitted it; empty: none.
     PoolName pool; // Pool at acceptance, used if the queue is no longer known.
     uint32_t maxAttempts { 1 };
     WorkflowSpec spec;
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -14,7 +14,7 @@
 
 // Incremented when the snapshot layout changes; older formats from oldestSnapshotFormat on are still read.
 constexpr uint64_t removedQueuesFormat = 3;
-constexpr uint64_t snapshotFormat = removedQueuesFormat;
+constexpr uint64_t snapshotFormat = organisationsFormat;
 constexpr uint64_t oldestSnapshotFormat = 1;
 
 /// Workers that may crash under one task before its workflow fails. The first crash may have any cause, and the second
@@ -182,6 +182,7 @@
     WorkflowRecord& record = known->second;
     record.id = command.id;
     record.queue = command.queue;
+    record.organisation = command.organisation;
     record.pool = command.pool;
     record.maxAttempts = command.maxAttempts;
     record.spec = command.spec;
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(snapshotRestoresEverything);
     CPPUNIT_TEST(snapshotOfTheFirstFormatIsRead);
     CPPUNIT_TEST(snapshotOfTheSecondFormatIsRead);
+    CPPUNIT_TEST(logEntryWithoutFormatIsRead);
+    CPPUNIT_TEST(snapshotKeepsOrganisations);
     CPPUNIT_TEST(removedQueueIsKeptWhileWorkflowsNeedIt);
     CPPUNIT_TEST(removedQueueThatComesBackIsInTheTableOnly);
     CPPUNIT_TEST(removedQueueOutlivesASnapshot);
@@ -84,7 +86,9 @@
         const StepRecord& step = occurrence.steps.at(0);
         const TaskRecord& task = step.tasks.at(0);
         FieldWriter writer;
-        writer(uint64_t { 1 }, m_state.table(), uint64_t { 1 });
+        writer(uint64_t { 1 });
+        writeTableWithoutOrganisations(writer, m_state.table());
+        writer(uint64_t { 1 });
         writer(written.id, written.queue, written.pool, written.maxAttempts, written.spec, written.phase,
             written.acceptedMs, written.hasStarted, uint64_t { 1 });
         writer(occurrence.number, occurrence.isFinished, uint64_t { 1 }, uint64_t { 1 });
@@ -102,13 +106,66 @@
     {
         apply({ ReplaceTable { samples::table(3) }, samples::accept(samples::firstId, { samples::step(1) }) });
         FieldWriter writer;
-        writer(uint64_t { 2 }, m_state.table(), uint64_t { 1 }, record(), uint64_t { 0 }, uint64_t { 0 });
+        writer(uint64_t { 2 });
+        writeTableWithoutOrganisations(writer, m_state.table());
+        writer(uint64_t { 1 });
+        const WorkflowRecord& written = record();
+        writer(written.id, written.queue, written.pool, written.maxAttempts, written.spec, written.phase,
+            written.acceptedMs, written.hasStarted, written.occurrences, written.begunOccurrences,
+            written.finishedOccurrences, written.placed, written.failureCause);
+        writer(uint64_t { 0 }, uint64_t { 0 });
         WorkflowState other;
         CPPUNIT_ASSERT(other.restore(writer.finish()));
         CPPUNIT_ASSERT(*other.find(samples::firstId) == record());
         CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
     }
 
+    // The fields of a table in snapshots and log entries before the fourth format.
+    static void writeTableWithoutOrganisations(FieldWriter& writer, const QueueTable& table)
+    {
+        writer(table.version, static_cast<uint64_t>(table.queues.size()));
+        for (const auto& queue : table.queues)
+            writer(queue.name, queue.callerHost, queue.urlPrefix, queue.pool, queue.priority, queue.maxAttempts,
+                queue.stretchPermille, queue.targetLatency, queue.callTimeout, queue.permission);
+        writer(table.pools, table.document);
+    }
+
+    // Guards against a host that cannot read the log of an earlier version, whose entries state no format and have no
+    // organisations.
+    void logEntryWithoutFormatIsRead()
+    {
+        const AcceptWorkflow accept = samples::accept(samples::firstId, { samples::step(1) });
+        FieldWriter table;
+        table(uint64_t { 0 });
+        writeTableWithoutOrganisations(table, samples::table(3));
+        FieldWriter acceptance;
+        acceptance(
+            uint64_t { 1 }, accept.id, accept.queue, accept.pool, accept.maxAttempts, accept.spec, accept.acceptedMs);
+        FieldWriter entry;
+        entry(std::vector<std::string> { table.finish(), acceptance.finish() });
+        m_state.apply(1, entry.finish());
+        CPPUNIT_ASSERT(m_state.table() == samples::table(3));
+        CPPUNIT_ASSERT(record().organisation.isEmpty());
+    }
+
+    // Guards against an organisation that is forgotten when a host restores a snapshot.
+    void snapshotKeepsOrganisations()
+    {
+        QueueTable table = samples::table(3);
+        table.queues.front().isPublic = true;
+        table.organisations = { { .name = OrganisationName("club"),
+            .keys = { KeyDigest::of("one"), KeyDigest::of("two") },
+            .weight = 2.5,
+            .limit = { .millicores = Millicores(4000), .mebibytes = {}, .accelerators = {} } } };
+        auto accept = samples::accept(samples::firstId, { samples::step(1) });
+        accept.organisation = OrganisationName("club");
+        apply({ ReplaceTable { table }, accept });
+        WorkflowState other;
+        CPPUNIT_ASSERT(other.restore(m_state.snapshot()));
+        CPPUNIT_ASSERT(other.table() == table);
+        CPPUNIT_ASSERT(other.find(samples::firstId)->organisation == OrganisationName("club"));
+    }
+
     static const Queue& findQueue(const WorkflowState& state)
     {
         const Queue* queue = state.findQueue(*state.find(samples::firstId));
