Explain a job from its acceptance on, and show the counts of an ended one

Cause: a zone hears of an assignment a moment after the cell has recorded it, and the cell knows no counts of tasks.

Change: the cell explains a job that the zone doesn't know yet; a job that finished has the count of its tasks, and any other ended one is asked for in the zone that ran it.

--- a/src/app/JobService.cpp
+++ b/src/app/JobService.cpp
@@ -140,15 +140,25 @@
             return { std::move(status), std::nullopt };
         return { std::move(status), Redirect {} };
     }
-    if (status->phase == JobPhase::Ended || !status->zone)
+    const bool hasEnded = status->phase == JobPhase::Ended;
+    // A job with failed tasks is done, too, with another reason.
+    const bool isDone = hasEnded && status->outcome && status->outcome->kind == OutcomeKind::Done
+        && status->outcome->reason == "finished";
+    if (isDone)
+        status->succeededTasks = status->tasks;
+    if (isDone || !status->zone)
         return { std::move(status), std::nullopt };
 
-    // Task counts are known only in the zone that runs the job.
+    // Otherwise the counts of tasks are known only in the zone that runs, or ran, the job.
     if (*status->zone != m_context.settings.zone) {
         const ZoneId zone = *status->zone;
         return { std::move(status), Redirect { zone } };
     }
-    if (auto detailed = m_context.zone.jobStatus(job); detailed && detailed->phase != JobPhase::Ended) {
+    auto detailed = m_context.zone.jobStatus(job);
+    if (detailed && hasEnded) {
+        status->succeededTasks = detailed->succeededTasks;
+        status->failedTasks = detailed->failedTasks;
+    } else if (detailed && detailed->phase != JobPhase::Ended) {
         detailed->zone = status->zone;
         detailed->epoch = status->epoch;
         return { std::move(detailed), std::nullopt };
@@ -277,6 +287,10 @@
                      "zone " + zone->value() + ", which runs job " + job.value() + ", cannot be reached"),
             Redirect { *zone } };
     auto explanation = m_context.zoneScheduler->explainJob(job, now, wall);
+    // A zone hears of an assignment a moment after the cell has recorded it.
+    const bool isNotYetKnown = !explanation && explanation.error().code == ErrorCode::NotFound && !*home;
+    if (isNotYetKnown && m_context.cell.jobStatus(job))
+        return { m_context.cellController->explainJob(job, now, wall), std::nullopt };
     if (m_context.zoneScheduler->isLeader())
         return { std::move(explanation), std::nullopt };
     return { std::move(explanation), Redirect { *zone } };
--- a/tests/processes/ProcessScenario.cpp
+++ b/tests/processes/ProcessScenario.cpp
@@ -518,6 +518,8 @@
 }
 
 // expect once | expect outcome NAME OUTCOME [OR ...] | expect explained NAME WORD | expect table ROW COLUMN VALUE
+// expect known NAME: every running host explains the job, at once and in the moments after
+// expect counts NAME SUCCEEDED FAILED
 ProcessScenario::Failure ProcessScenario::expect(Words& words)
 {
     std::string what;
@@ -541,6 +543,27 @@
         const std::string text = response.body.value("explanation", response.body.dump());
         return text.find(word) != std::string::npos ? Failure() : Failure("got: " + text);
     }
+    if (what == "known") {
+        constexpr int rounds = 10;
+        for (int round = 0; round < rounds; ++round) {
+            for (const auto& host : m_cell->hosts()) {
+                const auto response = m_cell->call(host, "GET", "/v1/jobs/" + m_jobs.at(name) + "/explain");
+                if (response.status != 200)
+                    return "at " + host + ": " + response.body.dump();
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return std::nullopt;
+    }
+    if (what == "counts") {
+        int succeeded = 0;
+        int failed = 0;
+        words >> succeeded >> failed;
+        const auto status = jobStatus(name, "");
+        const bool areEqual
+            = status.value("succeededTasks", -1) == succeeded && status.value("failedTasks", -1) == failed;
+        return areEqual ? Failure() : Failure("got: " + status.dump());
+    }
     if (what == "table") {
         std::string column;
         std::string value;
