Place work within the limits and shares of organisations

Cause: one organisation could take the whole cluster, since nothing counted what belongs to whom.

Change: the run controller counts what each organisation may have running, from the proposal of a placement until the end is committed. The planner places no task beyond the limit; steps of which nothing may start leave the pass before it is sorted, so they cost no requests and hide no others. While capacity is short, organisations clearly over their share come last at their level.

--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -55,13 +55,15 @@
 
 // A pass that is not full plans the steps that come before all patient ones. They are decided as in a full pass,
 // because no decision depends on later steps.
-void Planner::sortSteps(std::vector<ReadyStep*>& steps, bool isFullPass, TimePoint now)
+void Planner::sortSteps(std::vector<ReadyStep*>& steps, bool isFullPass, TimePoint now) const
 {
     std::vector<std::pair<StepOrder, ReadyStep*>> ordered;
     ordered.reserve(steps.size());
     std::optional<StepOrder> firstPatient;
     for (auto* step : steps) {
-        const StepOrder& order = ordered.emplace_back(StepOrder(*step, now), step).first;
+        const StepOrder& order
+            = ordered.emplace_back(StepOrder(*step, now, isBehindForShare(step->organisation, step->queue.pool)), step)
+                  .first;
         if (isPatient(*step) && (!firstPatient || order < *firstPatient))
             firstPatient = order;
     }
@@ -73,7 +75,8 @@
         steps[i] = ordered[i].second;
 }
 
-Planner::Decisions Planner::plan(std::vector<ReadyStep*>& steps, TimePoint now)
+Planner::Decisions Planner::plan(
+    std::vector<ReadyStep*>& steps, TimePoint now, const std::vector<Organisation>& organisations)
 {
     Decisions decisions;
     m_now = now;
@@ -96,33 +99,34 @@
             m_workerByNumber.resize(worker.number + 1);
         m_workerByNumber[worker.number] = &worker;
     }
+    applyOrganisations(steps, organisations, now);
     const bool isFullPass = steps.size() <= maxStepsPerShortPass || now >= m_nextFullPassAt;
     if (isFullPass)
         m_nextFullPassAt = now + fullPassInterval;
     sortSteps(steps, isFullPass, now);
     m_largestFree.clear();
-    for (size_t i = 0; i < std::min(steps.size(), maxStepsPerPlan); ++i) {
-        selectStep(*steps[i]);
-        planStep(*steps[i], decisions, now);
+    size_t next = 0;
+    for (size_t planned = 0; next < steps.size() && planned < maxStepsPerPlan; ++next) {
+        selectStep(*steps[next]);
+        planned += planStepWithinLimit(*steps[next], decisions, now) ? 1 : 0;
     }
-    if (steps.size() > maxStepsPerPlan)
-        planFurtherSteps(steps, decisions, now);
+    if (next < steps.size())
+        planFurtherSteps(steps, next, decisions, now);
     return decisions;
 }
 
 // Takes the steps in turn, because those that seem to fit and do not must not hide the ones behind them.
-void Planner::planFurtherSteps(const std::vector<ReadyStep*>& steps, Decisions& decisions, TimePoint now)
+void Planner::planFurtherSteps(const std::vector<ReadyStep*>& steps, size_t first, Decisions& decisions, TimePoint now)
 {
-    const size_t count = steps.size() - maxStepsPerPlan;
+    const size_t count = steps.size() - first;
     size_t planned = 0;
     size_t looked = 0;
     for (; looked < count && planned < maxFurtherSteps; ++looked) {
-        const ReadyStep& step = *steps[maxStepsPerPlan + (m_nextFurtherStep + looked) % count];
+        const ReadyStep& step = *steps[first + (m_nextFurtherStep + looked) % count];
         selectStep(step);
         if (!m_stepSize.isCoveredBy(largestFree(step)))
             continue;
-        planStep(step, decisions, now);
-        ++planned;
+        planned += planStepWithinLimit(step, decisions, now) ? 1 : 0;
     }
     // The most urgent ones come first again once all have had their turn.
     m_nextFurtherStep = looked < count ? (m_nextFurtherStep + looked) % count : 0;
@@ -270,6 +274,7 @@
 void Planner::allocate(WorkerCapacity& worker, const ReadyStep& step, size_t task, Decisions& decisions, TimePoint now)
 {
     worker.free -= m_stepSize;
+    m_headroom.take(m_stepOrganisation, step.spec->perTask);
     // A task that ends before the gang starts has borrowed from the reserved capacity.
     const Resources borrowed = minOf(maxOf(Resources {} - worker.free, {}), worker.reserved);
     worker.free += borrowed;
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <deque>
 #include <string>
 #include <vector>
 
 #include "workflow/CapacityForecast.h"
+#include "workflow/OrganisationHeadroom.h"
+#include "workflow/OrganisationShares.h"
 #include "workflow/PermissionTracker.h"
 #include "workflow/ReadyStep.h"
 #include "workflow/WorkerTracker.h"
@@ -45,7 +48,16 @@
     /// them if they are few, otherwise all every 30 ms, and in between those that come before any long work. Must
     /// therefore be called at least that often. The only state that it changes for other decisions is the list of
     /// pending permission requests; the caller must allocate each placement on its worker before the next call.
-    Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now);
+    /// Of each organisation, starts no more than fits into its limit; steps of which nothing may start are neither
+    /// considered nor left in `steps`.
+    Decisions plan(std::vector<ReadyStep*>& steps, TimePoint now, const std::vector<Organisation>& organisations = {});
+
+    /// True if the last pass placed the organisation's steps in this pool after those of others at their level.
+    bool isBehindForShare(const OrganisationName&, const PoolName&) const;
+    /// Use and share of each organisation in the last pass; empty if its table had fewer than two.
+    const OrganisationShares& shares() const { return m_shares; }
+    /// Forgets what it knows of organisations.
+    void resetShares() { m_shares.clear(); }
 
 private:
     /// Minimum number of workers in a request, including full workers: capacity is released and taken several times
@@ -102,9 +114,15 @@
     /// Plans the selected step.
     void planStep(const ReadyStep&, Decisions&, TimePoint now);
     /// Plans some of the steps beyond the first ones.
-    void planFurtherSteps(const std::vector<ReadyStep*>&, Decisions&, TimePoint now);
+    void planFurtherSteps(const std::vector<ReadyStep*>&, size_t first, Decisions&, TimePoint now);
+    /// Plans what the limit of the step's organisation lets start; false if that is nothing.
+    bool planStepWithinLimit(const ReadyStep&, Decisions&, TimePoint now);
+    /// Number of the step's tasks that the limit of its organisation lets start; `organisation` as in m_headroom.
+    uint32_t startableTasks(const ReadyStep&, uint32_t organisation) const;
+    /// Begins a pass: removes the steps that limits hold back, and compares the organisations' use with their shares.
+    void applyOrganisations(std::vector<ReadyStep*>&, const std::vector<Organisation>&, TimePoint now);
     /// Sorts the steps and removes those that this pass does not plan.
-    static void sortSteps(std::vector<ReadyStep*>&, bool isFullPass, TimePoint now);
+    void sortSteps(std::vector<ReadyStep*>&, bool isFullPass, TimePoint now) const;
     /// True if waiting for the next full pass adds little to the run time of the step.
     static bool isPatient(const ReadyStep&);
     static bool isPreemptible(const TrackedRun&, const ReadyStep&);
@@ -190,7 +208,14 @@
     size_t m_reservingGangs { 0 };
     std::vector<const PoolName*> m_pools;
     std::vector<LargestFree> m_largestFree;
+    OrganisationHeadroom m_headroom;
+    OrganisationShares m_shares;
+    std::vector<PoolName> m_shortPools; // In which more work waits than fits; known with two organisations only.
+    /// Copies of steps with the tasks that their organisation's limit lets start. Their addresses are stable, because
+    /// m_workers refers to steps.
+    std::deque<ReadyStep> m_partialSteps;
     // State of the step that is being planned.
+    uint32_t m_stepOrganisation { OrganisationIndex::none };
     const StepPermissions* m_stepPermissions { nullptr };
     Resources m_stepSize;
     uint32_t m_stepPool { 0 };
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -54,6 +54,7 @@
 void RunController::clear()
 {
     m_runs.clear();
+    m_organisationUsage.clear();
     m_runsByIncarnation.clear();
     m_unsettledRuns.clear();
     m_orphans.clear();
@@ -78,7 +79,10 @@
 
 TrackedRun& RunController::add(const RunRef& ref, const WorkerIncarnation& incarnation, const StepSpec& spec)
 {
-    TrackedRun& run = m_runs[ref];
+    const auto [entry, isNew] = m_runs.try_emplace(ref);
+    TrackedRun& run = entry->second;
+    if (!isNew)
+        m_organisationUsage.remove(run.organisation, run.spec.perTask);
     run.run = ref;
     run.incarnation = incarnation;
     run.spec = spec;
@@ -87,6 +91,8 @@
     const WorkflowRecord* record = m_state.find(ref.task.step.workflow);
     const TaskRecord* task = record ? record->find(ref.task) : nullptr;
     run.isSuspect = task && task->isSuspect();
+    run.organisation = record ? record->organisation : OrganisationName {};
+    m_organisationUsage.add(run.organisation, spec.perTask);
     m_unsettledRuns.insert(ref);
     allocateCapacity(run);
     if (spec.isGang)
@@ -125,6 +131,7 @@
         return;
     const TrackedRun& run = found->second;
     releaseCapacity(run);
+    m_organisationUsage.remove(run.organisation, run.spec.perTask);
     if (run.isGang) {
         const auto gang = m_gangs.find({ ref.task.step, ref.run });
         gang->second.members.erase(ref);
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "workflow/MessageSender.h"
+#include "workflow/OrganisationUsage.h"
 #include "workflow/ResendBudget.h"
 #include "workflow/ResponseTimes.h"
 #include "workflow/SchedulerSettings.h"
@@ -94,6 +95,9 @@
     /// Runs that may occupy this incarnation.
     std::vector<const TrackedRun*> runsOn(const WorkerIncarnation&) const;
     size_t size() const { return m_runs.size(); }
+    /// What the tracked runs take of their organisations' limits, from the proposal of each placement until the end of
+    /// the run is committed.
+    const OrganisationUsage& organisationUsage() const { return m_organisationUsage; }
 
 private:
     struct OrphanRun {
@@ -162,6 +166,7 @@
     WorkerTracker& m_workerTracker;
     uint64_t m_fence { 0 };
     std::map<RunRef, TrackedRun> m_runs;
+    OrganisationUsage m_organisationUsage; // Of m_runs.
     std::map<WorkerIncarnation, std::map<RunRef, TrackedRun*>> m_runsByIncarnation; // Points into m_runs.
     /// Runs that each call of advance() must check.
     std::set<RunRef> m_unsettledRuns;
--- a/src/workflow/StepOrder.cpp
+++ b/src/workflow/StepOrder.cpp
@@ -4,9 +4,10 @@
 
 namespace hickoryknot::workflow {
 
-StepOrder::StepOrder(const ReadyStep& step, TimePoint now)
+StepOrder::StepOrder(const ReadyStep& step, TimePoint now, bool isBehindForShare)
     : m_isExpired(now > step.expiresAt - step.criticalPath)
     , m_level(step.queue.priority)
+    , m_isBehindForShare(isBehindForShare)
     , m_isLate(now > step.latestStart())
     , m_latestStart(step.latestStart())
     , m_ref(&step.ref)
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -59,6 +59,7 @@
     TimePoint startedAt;
     TimePoint lastProgressAt; // When `percent` last changed.
     StepSpec spec; // Copy of the step, which outlives the workflow's record.
+    OrganisationName organisation; // Of the workflow's record, which this outlives as well.
 
     /// A start without an acknowledgement may be executed now or later, by any incarnation from the addressed one on.
     /// Only a confirmed stop or the time excludes it.
