Admit work by the limit, share and rate of its organisation

Cause: the work of one organisation counted in full as work ahead of all others, so they were refused for its load.

Change: OrganisationAdmission refuses what exceeds a limit, work that waits too long for its organisation's limit, and at full load an organisation that submits more than its weight; load beyond a share does not count for others. explain, event 601 and metrics name the cause. The random schedules have organisations with changing limits on odd seeds.

--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -11,6 +11,21 @@
 /// Minimum time between two log lines that report lines left out.
 constexpr Duration summaryPeriod = 1s;
 
+const char* causeName(AdmissionController::Cause cause)
+{
+    switch (cause) {
+    case AdmissionController::Cause::Overload:
+        return "overload";
+    case AdmissionController::Cause::OrganisationLimit:
+        return "organisationLimit";
+    case AdmissionController::Cause::OrganisationBacklog:
+        return "organisationBacklog";
+    case AdmissionController::Cause::OrganisationRate:
+        return "organisationRate";
+    }
+    return "";
+}
+
 std::string milliseconds(Duration duration) { return std::to_string(duration / 1ms); }
 
 } // namespace
@@ -127,8 +142,11 @@
     const WorkflowId& id, const QueueName& queue, const AdmissionController::Rejection& rejection)
 {
     m_metrics.add(m_refused);
-    writeEssential(Event::RequestNotRun, "refused a workflow: the queued work exceeds what can end in time",
-        { { "workflow", id.value() }, { "queue", queue.value() },
+    const bool isOverload = rejection.cause == AdmissionController::Cause::Overload;
+    writeEssential(Event::RequestNotRun,
+        isOverload ? "refused a workflow: the queued work exceeds what can end in time"
+                   : "refused a workflow because of the limit or share of its organisation",
+        { { "workflow", id.value() }, { "queue", queue.value() }, { "cause", causeName(rejection.cause) },
             { "expectedWaitMs", milliseconds(rejection.expectedWait) }, { "slackMs", milliseconds(rejection.slack) },
             { "returnAfterMs", milliseconds(rejection.retryAfter) } });
 }
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -9,6 +9,7 @@
 #include "control/ControlPaths.h"
 #include "control/HostAddress.h"
 #include "control/InitialMembersFile.h"
+#include "control/OrganisationMetrics.h"
 #include "report/PrometheusText.h"
 
 namespace hickoryknot {
@@ -355,6 +356,9 @@
         static_cast<double>(m_runner->group().lastIndex()));
     metrics.set(metrics.gauge("hickoryknot_table_version", "Version of the queue table"),
         static_cast<double>(m_state.table().version));
+    // Only the leader counts what runs.
+    if (isLeading())
+        addOrganisationMetrics(metrics, m_scheduler.organisationStatus());
     return renderPrometheus(metrics);
 }
 
--- a/src/control/WorkflowHostCalls.cpp
+++ b/src/control/WorkflowHostCalls.cpp
@@ -115,8 +115,9 @@
             return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
         constexpr uint64_t jitterSteps = 100;
         const double jitter = static_cast<double>(hashBytes(id.value()) % jitterSteps) / jitterSteps;
-        if (const auto rejection = m_scheduler.checkAdmission(*target->queue, call.spec, jitter, steadyNow())) {
-            auto reply = makeReply(ControlStatus::Refused, "more work is waiting than can end in time");
+        if (const auto rejection
+            = m_scheduler.checkAdmission(*target->queue, OrganisationName {}, call.spec, jitter, steadyNow())) {
+            auto reply = makeReply(ControlStatus::Refused, rejection->message);
             reply.retryAfter = rejection->retryAfter;
             m_log.onRefused(id, target->queue->name, *rejection);
             return respond(std::move(reply));
--- a/src/workflow/AdmissionController.h
+++ b/src/workflow/AdmissionController.h
@@ -2,10 +2,13 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/Quantity.h"
+#include "core/Resources.h"
 #include "core/Time.h"
+#include "workflow/OrganisationIndex.h"
 #include "workflow/Queue.h"
 #include "workflow/WorkflowSpec.h"
 
@@ -39,19 +42,49 @@
         bool isLate { false };
         TimePoint latestStart;
         double work { 0 }; // Estimate in millicore-microseconds.
+        // For limits of organisations:
+        uint32_t organisation { OrganisationIndex::none }; // Position in the table.
+        Resources demand {}; // All waiting tasks by their full size.
+        Duration runTime { 0 }; // Estimate for each task.
     };
     using Load = std::vector<WaitingWork>;
 
+    enum class Cause : uint8_t {
+        Overload, // More work is waiting than can end in time.
+        OrganisationLimit, // The workflow exceeds its organisation's limit even when nothing else runs.
+        OrganisationBacklog, // More work of the organisation is waiting than can end in time within its limit.
+        OrganisationRate, // Capacity is short, and the organisation submits more than its weight entitles it to.
+    };
     struct Rejection {
         Duration retryAfter { 0 }; // When the caller should come back.
         Duration expectedWait { 0 };
         Duration slack { 0 }; // Longest wait with which the workflow meets its deadline.
+        Cause cause { Cause::Overload };
+        std::string message { "more work is waiting than can end in time" }; // For the caller.
     };
     /// Returns nullopt if the workflow is admitted. `jitter`
     /// in 0..1 spreads that delay, so that rejected callers do not retry at the same time.
     std::optional<Rejection> checkAdmission(
         const Queue&, const WorkflowSpec&, const Load&, Millicores capacity, double jitter, TimePoint now) const;
 
+    /// True for work without a latency objective, which is admitted at any load: scheduled and long-running work.
+    static bool isAlwaysAdmitted(const WorkflowSpec&);
+    /// Longest wait with which a new workflow meets its deadline.
+    static Duration slackOf(const Queue&, const WorkflowSpec&);
+    /// True if the work starts before a new workflow of this priority with this latest start.
+    static bool isAhead(const WaitingWork&, uint32_t priority, TimePoint latestStart);
+    /// Part of a slack that the estimated wait may use.
+    Duration usableSlack(Duration slack) const;
+    /// Processors that are available to queued work, out of `capacity`.
+    double usableCapacity(Millicores capacity) const
+    {
+        return static_cast<double>(capacity.count()) * m_settings.usableCapacityFraction;
+    }
+    /// Rejects a workflow that would wait for longer than usableSlack().
+    std::optional<Rejection> checkWait(Duration wait, Duration slack, double jitter) const;
+    /// Delay for a rejected caller within the bounds of the settings.
+    Duration retryDelay(Duration wanted, double jitter) const;
+
 private:
     /// Work that starts before a new workflow of this priority with this latest start.
     static double workAhead(const Load&, uint32_t priority, TimePoint latestStart);
--- a/src/workflow/Explanation.cpp
+++ b/src/workflow/Explanation.cpp
@@ -27,6 +27,31 @@
 
 } // namespace
 
+std::string WorkflowScheduler::explainOrganisation(
+    const WorkflowRecord& record, const Queue& queue, const StepSpec& spec, uint32_t waitingTasks) const
+{
+    const Organisation* organisation
+        = record.organisation.isEmpty() ? nullptr : m_state.table().findOrganisation(record.organisation);
+    if (!organisation)
+        return {};
+    const Resources& used = m_runController.organisationUsage().usedBy(record.organisation);
+    if (auto reason = explainLimit(*organisation, used, spec, waitingTasks); !reason.empty())
+        return reason;
+    if (!m_planner.isBehindForShare(record.organisation, queue.pool))
+        return {};
+    const auto position = static_cast<size_t>(organisation - m_state.table().organisations.data());
+    const auto& uses = m_planner.shares().uses();
+    if (position >= uses.size())
+        return {};
+    double total = 0;
+    for (const auto& use : uses)
+        total += use.used;
+    constexpr double percent = 100;
+    return fmt::format("because capacity is short and your organisation has {:.1f}% of what is in use, with a share of "
+                       "{:.1f}%",
+        total > 0 ? percent * uses[position].used / total : 0, percent * uses[position].share);
+}
+
 // The first sentence states the phase; waiting tasks of a step are described together.
 std::string WorkflowScheduler::explain(const WorkflowId& id, TimePoint now, WallTime) const
 {
@@ -57,10 +82,12 @@
                 text += ".";
             else if (blocking != spec.dependencies.end())
                 text += fmt::format(" for step {} to finish.", *blocking);
-            else if (m_permissionTracker.isRequestPending(ref))
-                text += " for the answer of the permission service, which says where they may run.";
             else if (spec.isGang && steps.placed)
                 text += " for the other tasks of their gang to end before all start again.";
+            else if (const auto reason = explainOrganisation(*record, queue, spec, waitingTasks); !reason.empty())
+                text += fmt::format(", {}.", reason);
+            else if (m_permissionTracker.isRequestPending(ref))
+                text += " for the answer of the permission service, which says where they may run.";
             else
                 text += fmt::format(" for a worker of pool {} with {} thousandths of a core and {} MiB free{}.",
                     queue.pool.value(), spec.perTask.millicores.count(), spec.perTask.mebibytes.count(),
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -8,6 +8,8 @@
 
 #include "workflow/AdmissionController.h"
 #include "workflow/EarlyCancellations.h"
+#include "workflow/OrganisationAdmission.h"
+#include "workflow/OrganisationStatus.h"
 #include "workflow/Planner.h"
 #include "workflow/RunController.h"
 #include "workflow/WorkflowListener.h"
@@ -76,9 +78,14 @@
     void onTableProposed(const QueueTable&);
     bool isQueueBeingRemoved(const QueueName&) const;
 
-    /// Returns a rejection if a workflow cannot meet its deadline; see AdmissionController.
+    /// Returns a rejection if a workflow cannot meet its deadline, exceeds the limit of its organisation (empty: none),
+    /// or is one too many of it at full load; see AdmissionController and OrganisationAdmission. Otherwise the workflow
+    /// counts for the rate of its organisation.
     std::optional<AdmissionController::Rejection> checkAdmission(
-        const Queue&, const WorkflowSpec&, double jitter, TimePoint now) const;
+        const Queue&, const OrganisationName&, const WorkflowSpec&, double jitter, TimePoint now);
+
+    /// The organisations of the table in force, in its order.
+    std::vector<OrganisationStatus> organisationStatus() const;
 
     /// Number of accepted workflows of a queue of which no worker is known to have executed a start. Includes those of
     /// removed queues that had the same caller host and path prefix.
@@ -138,6 +145,8 @@
     void removeStaleWorkers(std::vector<WorkflowCommand>&, TimePoint now);
     void removeEndedWorkflows(std::vector<WorkflowCommand>&, TimePoint now);
     AdmissionController::Load waitingLoad(TimePoint now) const;
+    /// Why the organisation's limit or share delays the waiting tasks; empty if neither does.
+    std::string explainOrganisation(const WorkflowRecord&, const Queue&, const StepSpec&, uint32_t waitingTasks) const;
     void placeReadySteps(Output&, Batch&, TimePoint now);
     void reportPlacements(const std::vector<Planner::Placement>&, TimePoint now);
 
@@ -152,6 +161,7 @@
     PermissionTracker m_permissionTracker;
     Planner m_planner;
     AdmissionController m_admissionController;
+    OrganisationAdmission m_organisationAdmission { m_admissionController };
     EarlyCancellations m_earlyCancellations;
 
     std::set<WorkflowId> m_changedWorkflows;
--- a/src/workflow/WorkflowSchedulerPlacement.cpp
+++ b/src/workflow/WorkflowSchedulerPlacement.cpp
@@ -29,7 +29,7 @@
     }
     if (steps.empty())
         return;
-    auto decisions = m_planner.plan(steps, now);
+    auto decisions = m_planner.plan(steps, now, m_state.table().organisations);
     output.permissionRequests = std::move(decisions.permissionRequests);
     for (const auto& run : decisions.preemptions) {
         m_observer.onStopRequested(run, "a gang of higher priority needs its room");
@@ -89,29 +89,64 @@
 }
 
 std::optional<AdmissionController::Rejection> WorkflowScheduler::checkAdmission(
-    const Queue& queue, const WorkflowSpec& spec, double jitter, TimePoint now) const
+    const Queue& queue, const OrganisationName& organisation, const WorkflowSpec& spec, double jitter, TimePoint now)
 {
-    return m_admissionController.checkAdmission(
-        queue, spec, waitingLoad(now), m_workerTracker.capacity(queue.pool, now), jitter, now);
+    return m_organisationAdmission.check({ .queue = queue,
+                                             .spec = spec,
+                                             .organisation = organisation,
+                                             .organisations = m_state.table().organisations,
+                                             .usage = m_runController.organisationUsage(),
+                                             .load = waitingLoad(now),
+                                             .capacity = m_workerTracker.capacity(queue.pool, now),
+                                             .jitter = jitter },
+        now);
 }
 
 AdmissionController::Load WorkflowScheduler::waitingLoad(TimePoint now) const
 {
+    const OrganisationIndex organisations(m_state.table().organisations);
     AdmissionController::Load load;
     for (const auto& [ref, step] : m_readySteps) {
         const StepSpec& spec = *step.spec;
-        if (spec.usesSpareCapacity || spec.isLongRunning)
+        const uint32_t organisation = organisations.find(step.organisation);
+        // Work that uses spare processors delays only other work of its organisation, by the organisation's limit.
+        const bool isSpare = spec.usesSpareCapacity;
+        if (spec.isLongRunning || (isSpare && organisation == OrganisationIndex::none))
             continue;
         const StepOrder order(step, now);
         load.push_back({ .level = order.level(),
             .isLate = order.isLate(),
             .latestStart = step.latestStart(),
-            .work = static_cast<double>(step.tasks.size()) * static_cast<double>(spec.perTask.millicores.count())
-                * static_cast<double>(spec.estimatedRunTime.count()) });
+            .work = isSpare
+                ? 0
+                : static_cast<double>(step.tasks.size()) * static_cast<double>(spec.perTask.millicores.count())
+                    * static_cast<double>(spec.estimatedRunTime.count()),
+            .organisation = organisation,
+            .demand = spec.perTask * static_cast<int64_t>(step.tasks.size()),
+            .runTime = spec.estimatedRunTime });
     }
     return load;
 }
 
+std::vector<OrganisationStatus> WorkflowScheduler::organisationStatus() const
+{
+    const auto& organisations = m_state.table().organisations;
+    // As of the last pass; a table that was applied since may have others.
+    const auto& uses = m_planner.shares().uses();
+    std::vector<OrganisationStatus> result;
+    result.reserve(organisations.size());
+    for (size_t i = 0; i < organisations.size(); ++i) {
+        const bool isKnown = uses.size() == organisations.size();
+        result.push_back({ .name = organisations[i].name,
+            .used = m_runController.organisationUsage().usedBy(organisations[i].name),
+            .limit = organisations[i].limit,
+            .dominantFraction = isKnown ? uses[i].used : 0,
+            .share = isKnown ? uses[i].share : 0,
+            .refusals = m_organisationAdmission.refusals(organisations[i].name) });
+    }
+    return result;
+}
+
 size_t WorkflowScheduler::countPending(const QueueName& name) const
 {
     const auto found = m_pendingByQueue.find(name);
--- a/tests/workflow/ClusterSimulation.cpp
+++ b/tests/workflow/ClusterSimulation.cpp
@@ -1,6 +1,7 @@
 #include "ClusterSimulation.h"
 
 #include <algorithm>
+#include <array>
 
 #include "NullObserver.h"
 #include "WorkflowSamples.h"
@@ -20,6 +21,10 @@
 constexpr size_t maxRunsAfterCrashes = 3;
 /// The platform's rule: a capacity that has shrunk binds after the contact time and one heartbeat.
 constexpr Duration shrunkCapacityGrace = 3s + reportPeriod;
+/// The platform's rule: a table that lowers a limit binds at the latest after this time, for requests without delay.
+constexpr Duration tableGrace = 2500ms;
+/// Longest delay of a request that is executed late.
+constexpr Duration longestExecutionDelay = 12s;
 constexpr WallTime epoch { std::chrono::hours(24 * 365 * 50) };
 
 } // namespace
@@ -37,6 +42,8 @@
 
 ClusterSimulation::ClusterSimulation(uint64_t seed)
     : m_random(seed)
+    , m_organisationRandom(seed)
+    , m_hasOrganisations(seed % 2 == 1)
     , m_observer(std::make_unique<NullObserver>())
 {
     for (int i = 0; i < 3; ++i)
@@ -60,6 +67,10 @@
     // On half of the seeds, tasks of one queue need a permission that is valid for one incarnation.
     table.queues[0].permission
         = { .isNeeded = m_random() % 2 == 0, .perCall = 10ms, .perWorker = 1ms, .validity = permissionValidity };
+    if (m_hasOrganisations) {
+        for (const char* name : { "a", "b" })
+            table.organisations.push_back({ .name = OrganisationName(name), .keys = {}, .weight = 1, .limit = {} });
+    }
     m_log.push_back(encodeCommands({ ReplaceTable { table } }));
     elect(0);
 }
@@ -125,6 +136,93 @@
     return largest;
 }
 
+void ClusterSimulation::chooseOrganisation(AcceptWorkflow& command)
+{
+    if (!m_hasOrganisations)
+        return;
+    static const std::array<const char*, 5> names { "", "a", "a", "b", "removed" };
+    command.organisation = OrganisationName(names[m_organisationRandom() % names.size()]);
+    m_organisationOf[command.id] = command.organisation;
+}
+
+void ClusterSimulation::changeLimits()
+{
+    // Once in five seconds on average.
+    if (!m_hasOrganisations || m_organisationRandom() % 1000)
+        return;
+    QueueTable table = m_hosts[m_leader]->state.table();
+    table.version = ++m_proposedTableVersion;
+    for (auto& organisation : table.organisations) {
+        const auto processors = static_cast<int64_t>(m_organisationRandom() % 10) * 1000;
+        const auto memory = static_cast<int64_t>(m_organisationRandom() % 8) * 100;
+        organisation.limit = { .millicores = Millicores(processors), .mebibytes = Mebibytes(memory) };
+    }
+    m_submissions.emplace_back(ReplaceTable { std::move(table) });
+}
+
+std::optional<Resources> ClusterSimulation::usableLimit(const OrganisationName& name, Duration age) const
+{
+    constexpr Resources unlimited { Millicores(1'000'000), Mebibytes(1'000'000), Accelerators(1'000'000) };
+    Resources largest;
+    for (const auto& [until, table] : m_tables) {
+        const Organisation* organisation = table.findOrganisation(name);
+        if (until != TimePoint::max() && m_now > until + age)
+            continue;
+        if (!organisation)
+            return std::nullopt;
+        const Resources& limit = organisation->limit;
+        largest = maxOf(largest,
+            { limit.millicores.count() ? limit.millicores : unlimited.millicores,
+                limit.mebibytes.count() ? limit.mebibytes : unlimited.mebibytes, unlimited.accelerators });
+    }
+    return largest;
+}
+
+// Before a start, an organisation may have running at most 1.1 times its limit and one task.
+void ClusterSimulation::checkLimits()
+{
+    const QueueTable& table = m_hosts[m_leader]->state.table();
+    if (m_tables.empty() || m_tables.back().second.version != table.version)
+        m_tables.emplace_back(TimePoint::max(), table);
+    if (m_tables.size() > 1 && m_tables[m_tables.size() - 2].first == TimePoint::max())
+        m_tables[m_tables.size() - 2].first = m_now;
+    std::map<OrganisationName, Resources> used;
+    for (const auto& worker : m_workers) {
+        for (const auto& [task, run] : worker->runs())
+            used[m_organisationOf[task.step.workflow]] += run.spec.perTask;
+    }
+    for (const auto& worker : m_workers) {
+        for (const auto& [task, run] : worker->runs()) {
+            const OrganisationName& name = m_organisationOf[task.step.workflow];
+            if (name.isEmpty() || (run.startedAt != m_now && run.startedAt + stepTime < m_now))
+                continue;
+            const Duration age = tableGrace + (m_lateRuns.contains(run.run) ? longestExecutionDelay : Duration(0));
+            const auto limit = usableLimit(name, age);
+            const Resources before = used[name] - run.spec.perTask;
+            if (limit && !((before - run.spec.perTask) * 10).fitsInto(*limit * 11))
+                reportViolation(
+                    "organisation " + name.value() + " got a start of " + describe(task) + " far beyond its limit");
+        }
+    }
+}
+
+// The count by organisation is that of the tracked runs, and nothing stays in it.
+void ClusterSimulation::checkUsage()
+{
+    const RunController& controller = m_hosts[m_leader]->scheduler.runController();
+    std::map<OrganisationName, Resources> used;
+    for (const auto& [ref, run] : controller.runs()) {
+        const auto& name = m_organisationOf[ref.task.step.workflow];
+        if (!name.isEmpty())
+            used[name] += run.spec.perTask;
+    }
+    bool isEqual = used.size() == controller.organisationUsage().size();
+    for (const auto& [name, amount] : used)
+        isEqual = isEqual && controller.organisationUsage().usedBy(name) == amount;
+    if (!isEqual)
+        reportViolation("the use by organisation differs from that of the tracked runs");
+}
+
 void ClusterSimulation::recordStart(const RunRef& run)
 {
     if (m_isExecutingLate)
@@ -201,11 +299,16 @@
     if (!m_areFaultsStopped) {
         submit();
         injectFaults();
+        changeLimits();
     }
     reportWorkers();
     advanceLeader();
     advanceWorkers();
     checkWorkers();
+    if (m_hasOrganisations) {
+        checkLimits();
+        checkUsage();
+    }
     return m_violation;
 }
 
@@ -217,6 +320,13 @@
     // All work must be able to finish.
     for (auto& worker : m_workers)
         worker->setCapacity(samples::profile("w").capacity);
+    if (!m_hasOrganisations)
+        return;
+    QueueTable table = m_hosts[m_leader]->state.table();
+    table.version = ++m_proposedTableVersion;
+    for (auto& organisation : table.organisations)
+        organisation.limit = {};
+    m_submissions.emplace_back(ReplaceTable { std::move(table) });
 }
 
 void ClusterSimulation::submit()
@@ -236,7 +346,9 @@
             step.dependencies = { static_cast<uint32_t>(i - 1) };
         steps.push_back(step);
     }
-    m_submissions.emplace_back(samples::accept(WorkflowId(id), std::move(steps), chance(0.5) ? "q" : "low"));
+    auto command = samples::accept(WorkflowId(id), std::move(steps), chance(0.5) ? "q" : "low");
+    chooseOrganisation(command);
+    m_submissions.emplace_back(std::move(command));
     if (chance(0.2)) {
         std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(1 + m_random() % m_nextWorkflow));
         m_submissions.emplace_back(CancelWorkflow { WorkflowId(id) });
--- a/tests/workflow/ClusterSimulation.h
+++ b/tests/workflow/ClusterSimulation.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -73,6 +74,14 @@
     void crashUnderDeadlyTasks();
     void recordStart(const RunRef&);
     void changeCapacities();
+    /// Gives a new workflow an organisation, one that the table has or one that it lacks, or none.
+    void chooseOrganisation(AcceptWorkflow&);
+    /// Proposes a table with other limits.
+    void changeLimits();
+    /// Largest limit of an organisation in the tables of the last `age`; nullopt: none.
+    std::optional<Resources> usableLimit(const OrganisationName&, Duration age) const;
+    void checkLimits();
+    void checkUsage();
     /// Largest capacity of the worker that a start may still use.
     Resources usableCapacity(const WorkerProfile&) const;
     void checkFailedWorkflows();
@@ -81,6 +90,10 @@
     SimulatedWorker::Behaviour behaviourOf(const RunRef&);
 
     std::mt19937_64 m_random;
+    /// Separate, so that organisations do not change the faults of a seed.
+    std::mt19937_64 m_organisationRandom;
+    /// On odd seeds, workflows have organisations whose limits change.
+    bool m_hasOrganisations { false };
     bool m_areFaultsStopped { false };
     TimePoint m_now { 1000s };
     SchedulerSettings m_settings;
@@ -94,6 +107,10 @@
     std::map<WorkerId, uint64_t> m_sequences;
     /// Earlier capacities with the time until which they were in force.
     std::map<WorkerId, std::vector<std::pair<TimePoint, Resources>>> m_earlierCapacities;
+    std::map<WorkflowId, OrganisationName> m_organisationOf;
+    uint64_t m_proposedTableVersion { 1 };
+    /// Tables of which the leader knew, with the time until which they were in force.
+    std::vector<std::pair<TimePoint, QueueTable>> m_tables;
     /// Until this time, this share of the requests gets no response and is executed seconds later.
     TimePoint m_lateUntil;
     double m_lateShare { 0 };
--- a/tests/workflow/WorkflowSafetyTest.cpp
+++ b/tests/workflow/WorkflowSafetyTest.cpp
@@ -24,8 +24,10 @@
     // Guards against tasks that run twice at the same time, workers over capacity, starts before dependencies are done
     // or after the task is done, and workflows that never end. Leaders change, workers restart under their ids within
     // 0.2 to 1.5 s and are cut off soon after, links are partitioned in one or both directions, and requests are lost
-    // or executed seconds late. On half of the seeds responses to starts and stops do not name the incarnation. SEEDS
-    // sets the number of runs, FIRST_SEED the first one.
+    // or executed seconds late. On half of the seeds responses to starts and stops do not name the incarnation. On odd
+    // seeds, workflows belong to organisations whose limits change; guards against starts beyond a limit after changes
+    // of the leader, lost answers and restarts, and against a count of running work that loses runs or keeps ended
+    // ones. SEEDS sets the number of runs, FIRST_SEED the first one.
     void invariantsHoldUnderRandomFaults()
     {
         const uint64_t first = environmentNumber("FIRST_SEED", 1);
