--- a/src/workflow/FinishedRun.h
+++ b/src/workflow/FinishedRun.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "core/Time.h"
 #include "workflow/WorkKind.h"
 #include "workflow/WorkerIncarnation.h"
@@ -9,7 +11,8 @@
 /// What an ended run tells about its kind of work and its worker.
 struct FinishedRun {
     WorkKind kind;
-    WorkerIncarnation worker;
+    /// Where it ran. A gang has several: it ends with its slowest member and is no sample of any worker's speed.
+    std::vector<WorkerIncarnation> workers;
     /// The caller's estimate, and the time from the start to the end.
     Duration declared { 0 };
     Duration ran { 0 };
