Order and place work by learned run times and worker speeds

Short requests were late on slow workers beside idle fast ones, and expected ends followed estimates that are off by up to three times. Critical paths, deadlines, admission, expected ends, backfill and preemption use the learned times. Urgent steps prefer fast workers and ask permission for them first, steps with time left prefer slow ones, gangs prefer workers of one speed, and a task waits for a fast worker only if it ends earlier there. SchedulerSettings::learnsRunTimes (learnsRunTimes in the settings document) switches all of it off. explain and metrics show expected and actual times.

--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -34,6 +34,28 @@
 /// Log entries between snapshots; writing a snapshot blocks the host for some milliseconds.
 constexpr uint64_t snapshotInterval = 8192;
 
+// What the run time model has learned; see docs/operators.md.
+void addRunTimeMetrics(Metrics& metrics, const WorkflowScheduler& scheduler)
+{
+    const auto& model = scheduler.runTimeModel();
+    const auto accuracy = model.accuracy();
+    const auto speeds = model.speedRange();
+    const auto set
+        = [&](const char* name, const char* help, double value) { metrics.set(metrics.gauge(name, help), value); };
+    set("hickoryknot_run_time_error_declared", "Median of |log(estimate / run time)| of callers' estimates",
+        accuracy.declaredError);
+    set("hickoryknot_run_time_error_learned", "The same of learned run times", accuracy.learnedError);
+    set("hickoryknot_run_time_expected_seconds", "Sum of learned run times of the runs done in this leadership",
+        std::chrono::duration<double>(accuracy.expected).count());
+    set("hickoryknot_run_time_actual_seconds", "Sum of the actual run times of the same runs",
+        std::chrono::duration<double>(accuracy.actual).count());
+    set("hickoryknot_run_time_samples", "Number of these runs", static_cast<double>(accuracy.runs));
+    set("hickoryknot_worker_speed_slowest", "Learned speed of the slowest worker; 1 is usual", speeds.slowest);
+    set("hickoryknot_worker_speed_fastest", "The same of the fastest worker", speeds.fastest);
+    set("hickoryknot_run_time_summary_unreadable", "1 if this leadership could not read the recorded summary",
+        scheduler.runTimeSummaryError() ? 1 : 0);
+}
+
 } // namespace
 
 WorkflowHost::WorkflowHost(boost::asio::io_context& io, const WorkflowHostSettings& settings, HostMessageLinks& links,
@@ -355,6 +377,7 @@
         static_cast<double>(m_runner->group().lastIndex()));
     metrics.set(metrics.gauge("hickoryknot_table_version", "Version of the queue table"),
         static_cast<double>(m_state.table().version));
+    addRunTimeMetrics(metrics, m_scheduler);
     return renderPrometheus(metrics);
 }
 
--- a/src/workflow/CapacityForecast.cpp
+++ b/src/workflow/CapacityForecast.cpp
@@ -15,6 +15,10 @@
 constexpr uint32_t minProgressPercent = 10;
 /// A run that has outlasted its estimate is expected to need this fraction of its run time so far.
 constexpr int64_t overrunDivisor = 4;
+/// A run in this part of its learned run time is nearly done, as one that reports the progress with which runs are no
+/// longer preempted.
+constexpr int64_t nearlyDonePercent = 75;
+constexpr int64_t overrunPercent = 150;
 
 } // namespace
 
@@ -24,7 +28,7 @@
         return now + endingTime;
     if (run.spec.isLongRunning)
         return TimePoint::max();
-    TimePoint end = run.startedAt + run.spec.estimatedRunTime;
+    TimePoint end = run.startedAt + run.expectedRunTime();
     if (run.percent >= minProgressPercent && run.percent <= 100 && run.lastProgressAt > run.startedAt)
         end = run.lastProgressAt
             + (run.lastProgressAt - run.startedAt) * static_cast<int64_t>(100 - run.percent)
@@ -34,12 +38,21 @@
     return now + std::max(endingTime, (now - run.startedAt) / overrunDivisor);
 }
 
+bool isNearlyDone(const TrackedRun& run, TimePoint now)
+{
+    if (!run.learnedRunTime)
+        return false;
+    const Duration elapsed = now - run.startedAt;
+    return elapsed >= *run.learnedRunTime * nearlyDonePercent / 100
+        && elapsed <= *run.learnedRunTime * overrunPercent / 100;
+}
+
 void CapacityForecast::build(const std::vector<const TrackedRun*>& runs, TimePoint now)
 {
     m_expected.clear();
     for (const auto* run : runs) {
         const TimePoint at
-            = run->phase == TrackedRun::Phase::Proposed ? now + run->spec.estimatedRunTime : expectedEnd(*run, now);
+            = run->phase == TrackedRun::Phase::Proposed ? now + run->expectedRunTime() : expectedEnd(*run, now);
         if (at != TimePoint::max())
             m_expected.push_back({ .at = at, .amount = resourceDemand(run->spec) });
     }
--- a/src/workflow/CapacityForecast.h
+++ b/src/workflow/CapacityForecast.h
@@ -41,6 +41,10 @@
     std::vector<Release> m_releases; // The same, less what is claimed.
 };
 
+/// True if a run has done most of its work by its learned run time, so that stopping it saves little. False if it has
+/// far outlasted that time, which then says nothing, and without a learned time.
+bool isNearlyDone(const TrackedRun&, TimePoint now);
+
 /// Expected end of a run, from its reported progress if there is any, otherwise from the estimated run time.
 TimePoint expectedEnd(const TrackedRun&, TimePoint now);
 
--- a/src/workflow/Explanation.cpp
+++ b/src/workflow/Explanation.cpp
@@ -25,8 +25,40 @@
     return "";
 }
 
+/// Running tasks of a step that an explanation describes; the others are usually like them.
+constexpr size_t maxDescribedRuns = 3;
+
+std::string seconds(Duration time) { return fmt::format("{:.1f} s", std::chrono::duration<double>(time).count()); }
+
 } // namespace
 
+std::string WorkflowScheduler::describeRuns(const StepRef& step, TimePoint now) const
+{
+    std::vector<const TrackedRun*> running;
+    const auto& runs = m_runController.runs();
+    const RunRef first { .task = { .step = step, .index = 0 }, .run = 0 };
+    for (auto run = runs.lower_bound(first); run != runs.end() && run->first.task.step == step; ++run) {
+        if (run->second.phase == TrackedRun::Phase::Confirmed)
+            running.push_back(&run->second);
+    }
+    // The longest first.
+    std::stable_sort(running.begin(), running.end(),
+        [](const TrackedRun* a, const TrackedRun* b) { return a->startedAt < b->startedAt; });
+    std::string text;
+    for (size_t i = 0; i < std::min(running.size(), maxDescribedRuns); ++i) {
+        const TrackedRun& run = *running[i];
+        text += fmt::format(" Task {} has been running on worker {} for {}", run.run.task.index,
+            run.incarnation.worker.value(), seconds(now - run.startedAt));
+        if (!run.spec.isLongRunning)
+            text += fmt::format(" and is expected to take {}{}", seconds(run.expectedRunTime()),
+                run.learnedRunTime ? " there" : " by its caller's estimate");
+        text += '.';
+    }
+    if (running.size() > maxDescribedRuns)
+        text += fmt::format(" {} other tasks are running.", running.size() - maxDescribedRuns);
+    return text;
+}
+
 // The first sentence states the phase; waiting tasks of a step are described together.
 std::string WorkflowScheduler::explain(const WorkflowId& id, TimePoint now, WallTime) const
 {
@@ -65,6 +97,8 @@
                 text += fmt::format(" for a worker of pool {} with {} thousandths of a core and {} MiB free{}.",
                     queue.pool.value(), spec.perTask.millicores.count(), spec.perTask.mebibytes.count(),
                     spec.isGang ? ", for all tasks at the same time" : "");
+            if (steps.placed)
+                text += describeRuns(ref, now);
         }
     }
     if (tracked != m_trackedWorkflows.end()) {
--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -48,10 +48,7 @@
 
 } // namespace
 
-bool Planner::isPatient(const ReadyStep& step)
-{
-    return step.spec->estimatedRunTime >= fullPassInterval * patienceDivisor;
-}
+bool Planner::isPatient(const ReadyStep& step) { return step.runTime() >= fullPassInterval * patienceDivisor; }
 
 // A pass that is not full plans the steps that come before all patient ones. They are decided as in a full pass,
 // because no decision depends on later steps.
@@ -80,6 +77,8 @@
     m_workers.clear();
     m_pools.clear();
     m_reservingGangs = 0;
+    m_slowestSpeed = 1;
+    m_haveSpeedsDiffering = false;
     ++m_pass;
     for (auto& [incarnation, tracked] : m_workerTracker.workers()) {
         if (!m_workerTracker.isReadyForWork(tracked, now))
@@ -88,7 +87,10 @@
             .number = tracked.number,
             .pool = poolIndex(tracked.profile.pool),
             .free = tracked.free(),
-            .isOnProbation = WorkerTracker::isOnProbation(tracked, now) });
+            .isOnProbation = WorkerTracker::isOnProbation(tracked, now),
+            .speedClass = speedClassOf(tracked.speed) });
+        m_slowestSpeed = std::min(m_slowestSpeed, tracked.speed);
+        m_haveSpeedsDiffering = m_haveSpeedsDiffering || m_workers.back().speedClass != m_workers.front().speedClass;
     }
     m_workerByNumber.clear();
     for (auto& worker : m_workers) {
@@ -132,6 +134,7 @@
 {
     m_stepSize = resourceDemand(*step.spec);
     m_stepPool = poolIndex(step.queue.pool);
+    m_stepSpeed = speedPreferenceOf(step, m_slowestSpeed, m_now);
 }
 
 void Planner::planStep(const ReadyStep& step, Decisions& decisions, TimePoint now)
@@ -180,7 +183,7 @@
 {
     if (worker.reservedFrom == TimePoint::max() || step.spec->isLongRunning)
         return worker.free;
-    const Duration runTime = step.spec->estimatedRunTime * (100 + backfillMarginPercent) / 100;
+    const Duration runTime = timeAtSpeed(step.runTime(), worker.tracked->speed) * (100 + backfillMarginPercent) / 100;
     return m_now + runTime <= worker.reservedFrom ? worker.free + worker.reserved : worker.free;
 }
 
@@ -240,15 +243,13 @@
         sortForSuspects(found);
         return found;
     }
-    // Prefers the rack that holds the data, then the fullest workers.
+    // Prefers the rack that holds the data.
     std::sort(found.begin(), found.end(), [&](const WorkerCapacity* a, const WorkerCapacity* b) {
         const bool isNearA = !step.spec->dataRack.isEmpty() && a->tracked->profile.rack == step.spec->dataRack;
         const bool isNearB = !step.spec->dataRack.isEmpty() && b->tracked->profile.rack == step.spec->dataRack;
         if (isNearA != isNearB)
             return isNearA;
-        if (a->free.millicores != b->free.millicores)
-            return a->free.millicores < b->free.millicores;
-        return a < b;
+        return isPreferred(*a, *b);
     });
     return found;
 }
@@ -284,7 +285,10 @@
             .incarnation = worker.tracked->incarnation(),
             .spec = step.spec,
             .priority = step.queue.priority,
-            .permissionToken = permissionToken ? *permissionToken : std::string() });
+            .permissionToken = permissionToken ? *permissionToken : std::string(),
+            .learnedRunTime = {} });
+    if (step.learnedRunTime)
+        decisions.placements.back().learnedRunTime = timeAtSpeed(*step.learnedRunTime, worker.tracked->speed);
 }
 
 // A short call takes about as long as the commit of the acceptance, so the two overlap.
@@ -299,16 +303,19 @@
 void Planner::planTasks(const ReadyStep& step, Decisions& decisions, TimePoint now)
 {
     const size_t before = decisions.placements.size();
-    placeTasks(step, candidates(step, now), decisions, now);
+    const auto withRoom = candidates(step, now);
+    const bool waits = isWorthWaiting(step, withRoom, now);
+    if (!waits)
+        placeTasks(step, withRoom, decisions, now);
     const size_t left = step.tasks.size() - (decisions.placements.size() - before);
     if (!left)
         return;
-    if (step.queue.permission.isNeeded) {
+    if (step.queue.permission.isNeeded && !waits) {
         requestPermissionsForTasks(step, decisions, now);
         reserveNamedWorkers(step, left);
     }
     const bool isUrgent = now < step.latestStart() && now > step.latestStart() - urgentWindow;
-    if (isUrgent)
+    if (isUrgent || waits)
         reserveForUrgentTasks(step, left, now);
 }
 
@@ -354,8 +361,7 @@
 {
     const auto& cost = step.queue.permission;
     const Duration usual = cost.perCall + cost.perWorker * static_cast<int64_t>(minNamedWorkersPerStep);
-    return static_cast<double>(usual.count())
-        <= shortCallFraction * static_cast<double>(step.spec->estimatedRunTime.count());
+    return static_cast<double>(usual.count()) <= shortCallFraction * static_cast<double>(step.runTime().count());
 }
 
 void Planner::reserveNamedWorkers(const ReadyStep& step, size_t tasks)
@@ -409,13 +415,12 @@
     // Without any free capacity, tokens would expire before they are used.
     if (options.empty())
         return;
-    // Allowed workers first, then the fullest ones: large tasks and gangs need the capacity that is left on the others.
-    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
+    // Allowed workers first, then those of the preferred speed, then the fullest ones: large tasks and gangs need the
+    // capacity that is left on the others.
+    std::sort(options.begin(), options.end(), [&](const Option& a, const Option& b) {
         if (a.isAllowed != b.isAllowed)
             return a.isAllowed;
-        if (a.worker->free.millicores != b.worker->free.millicores)
-            return a.worker->free.millicores < b.worker->free.millicores;
-        return a.worker < b.worker;
+        return isPreferred(*a.worker, *b.worker);
     });
     const double grantedFraction = m_permissionTracker.grantedFraction(step.queue.name);
     double expected = 0;
@@ -438,7 +443,7 @@
     struct Option {
         WorkerCapacity* worker;
         bool isAllowed;
-        TimePoint fitsAt;
+        TimePoint at; // See endOfSlot().
     };
     std::vector<Option> options;
     std::vector<TimePoint> slots;
@@ -447,14 +452,15 @@
             continue;
         slots.clear();
         forecastOf(worker).findSlots(worker.free, m_stepSize, 1, m_now, slots);
-        options.push_back({ &worker, isAllowed(worker), slots.empty() ? TimePoint::max() : slots.front() });
+        options.push_back(
+            { &worker, isAllowed(worker), endOfSlot(step, worker, slots.empty() ? TimePoint::max() : slots.front()) });
     }
     const size_t count = std::min(options.size(), minNamedWorkersPerStep - named.size());
     std::partial_sort(options.begin(), options.begin() + static_cast<std::ptrdiff_t>(count), options.end(),
         [](const Option& a, const Option& b) {
             if (a.isAllowed != b.isAllowed)
                 return a.isAllowed;
-            return a.fitsAt != b.fitsAt ? a.fitsAt < b.fitsAt : a.worker < b.worker;
+            return a.at != b.at ? a.at < b.at : a.worker < b.worker;
         });
     for (size_t i = 0; i < count; ++i)
         named.push_back(options[i].worker);
@@ -505,6 +511,7 @@
 {
     struct Slot {
         TimePoint at;
+        TimePoint endsAt; // See endOfSlot().
         WorkerCapacity* worker;
     };
     std::vector<Slot> slots;
@@ -516,15 +523,18 @@
         const uint32_t mostTasks = std::min(fittingTasksWhenEmpty(*worker, step), static_cast<uint32_t>(tasks));
         forecastOf(*worker).findSlots(worker->free, m_stepSize, mostTasks, m_now, times);
         for (const TimePoint at : times)
-            slots.push_back({ at, worker });
+            slots.push_back({ at, step.spec->isGang ? at : endOfSlot(step, *worker, at), worker });
     }
     const auto count = static_cast<std::ptrdiff_t>(std::min(tasks, slots.size()));
-    const auto isSooner = [](const Slot& a, const Slot& b) { return a.at != b.at ? a.at < b.at : a.worker < b.worker; };
+    const auto isSooner
+        = [](const Slot& a, const Slot& b) { return a.endsAt != b.endsAt ? a.endsAt < b.endsAt : a.worker < b.worker; };
     std::partial_sort(slots.begin(), slots.begin() + count, slots.end(), isSooner);
     slots.resize(static_cast<size_t>(count));
-    Reservation reservation { .startsAt = slots.empty() ? TimePoint::max() : slots.back().at, .workers = {} };
-    for (const auto& slot : slots)
+    Reservation reservation { .startsAt = slots.empty() ? TimePoint::max() : slots.front().at, .workers = {} };
+    for (const auto& slot : slots) {
+        reservation.startsAt = std::max(reservation.startsAt, slot.at);
         reservation.workers.push_back(slot.worker);
+    }
     return reservation;
 }
 
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -6,6 +6,7 @@
 #include "workflow/CapacityForecast.h"
 #include "workflow/PermissionTracker.h"
 #include "workflow/ReadyStep.h"
+#include "workflow/SpeedPreference.h"
 #include "workflow/WorkerTracker.h"
 
 namespace hickoryknot::workflow {
@@ -15,6 +16,7 @@
 
 /// Decides which ready tasks start on which workers. For overload, when more work is ready than fits, steps are ordered
 /// by StepOrder.
+/// Urgent tasks prefer fast workers and tasks with time left slow ones; see SpeedPreference.
 /// Small tasks are packed onto the fullest workers, which leaves contiguous capacity for large tasks and gangs. A gang
 /// that does not fit reserves the capacity in which all its tasks will fit soonest, by the expected ends of the runs
 /// there; work that ends before then may still use that capacity. Close to its latest start, a gang preempts
@@ -34,6 +36,7 @@
         const StepSpec* spec;
         uint32_t priority;
         std::string permissionToken;
+        std::optional<Duration> learnedRunTime; // See TrackedRun.
     };
     struct Decisions {
         std::vector<Placement> placements;
@@ -63,6 +66,7 @@
         uint32_t lastStepTasks { 0 }; // How many of its tasks.
         uint32_t plannedSuspects { 0 };
         bool isOnProbation { false };
+        int speedClass { 0 }; // See speedClassOf().
         /// Capacity will be freed here by preemption for a gang that comes earlier; later steps may not use the worker.
         bool isReserved { false };
         /// Free capacity that is reserved for steps which come earlier. Only tasks that are expected to end before
@@ -97,6 +101,18 @@
         double cost { 0 }; // Preempted millicores per task that fits.
     };
 
+    /// Order in which the selected step uses workers with room: by preferred speed, then the fullest ones.
+    bool isPreferred(const WorkerCapacity&, const WorkerCapacity&) const;
+    /// When a task of the selected step that starts at `at` is expected to end, if the step prefers fast workers;
+    /// otherwise `at`.
+    TimePoint endOfSlot(const ReadyStep&, const WorkerCapacity&, TimePoint at) const;
+    /// True if all tasks of the step should wait for faster workers than those with room, which are in the order of
+    /// preference.
+    bool isWorthWaiting(const ReadyStep&, const std::vector<WorkerCapacity*>& withRoom, TimePoint now);
+    /// Sets of workers that a gang tries in turn.
+    std::vector<std::vector<WorkerCapacity*>> gangGroups(
+        const ReadyStep&, const std::vector<WorkerCapacity*>&, TimePoint now) const;
+
     /// Sets the state of the step that is being planned, without its permissions.
     void selectStep(const ReadyStep&);
     /// Plans the selected step.
@@ -107,7 +123,7 @@
     static void sortSteps(std::vector<ReadyStep*>&, bool isFullPass, TimePoint now);
     /// True if waiting for the next full pass adds little to the run time of the step.
     static bool isPatient(const ReadyStep&);
-    static bool isPreemptible(const TrackedRun&, const ReadyStep&);
+    static bool isPreemptible(const TrackedRun&, const ReadyStep&, TimePoint now);
     uint32_t fittingTasksWithin(
         const WorkerCapacity&, const ReadyStep&, const Resources& free, uint32_t maxTasks) const;
     uint32_t fittingTasks(const WorkerCapacity& worker, const ReadyStep& step, uint32_t maxTasks) const
@@ -188,12 +204,15 @@
     TimePoint m_nextFullPassAt;
     size_t m_nextFurtherStep { 0 }; // Where planFurtherSteps() goes on.
     size_t m_reservingGangs { 0 };
+    double m_slowestSpeed { 1 }; // Of all workers of this pass.
+    bool m_haveSpeedsDiffering { false }; // Workers of this pass are in several speed classes.
     std::vector<const PoolName*> m_pools;
     std::vector<LargestFree> m_largestFree;
     // State of the step that is being planned.
     const StepPermissions* m_stepPermissions { nullptr };
     Resources m_stepSize;
     uint32_t m_stepPool { 0 };
+    SpeedPreference m_stepSpeed { SpeedPreference::Slow };
     TimePoint m_now;
 };
 
--- a/src/workflow/PlannerGangs.cpp
+++ b/src/workflow/PlannerGangs.cpp
@@ -1,6 +1,7 @@
 // How gangs are planned: permissions for all members at once, reservations and preemption.
 
 #include <algorithm>
+#include <limits>
 
 #include "workflow/Planner.h"
 #include "workflow/RunController.h"
@@ -128,33 +129,40 @@
         if (capacity < count)
             return false;
         size_t task = 0;
+        double slowest = std::numeric_limits<double>::max();
         for (auto* worker : among) {
             const auto left = static_cast<uint32_t>(count - task);
-            for (uint32_t remaining = fittingTasks(*worker, step, left); remaining; --remaining)
+            for (uint32_t remaining = fittingTasks(*worker, step, left); remaining; --remaining) {
                 allocate(*worker, step, task++, decisions, now);
+                slowest = std::min(slowest, worker->tracked->speed);
+            }
         }
+        for (size_t i = decisions.placements.size() - count; step.learnedRunTime && i < decisions.placements.size();
+             ++i)
+            decisions.placements[i].learnedRunTime = timeAtSpeed(*step.learnedRunTime, slowest);
         return true;
     };
-    if (step.spec->prefersOneRack) {
+    const auto groups = gangGroups(step, workers, now);
+    for (size_t i = 0; step.spec->prefersOneRack && i < groups.size(); ++i) {
         std::map<RackId, std::vector<WorkerCapacity*>> racks;
-        for (auto* worker : workers)
+        for (auto* worker : groups[i])
             racks[worker->tracked->profile.rack].push_back(worker);
         for (const auto& [rack, among] : racks) {
             if (fill(among))
                 return true;
         }
     }
-    return fill(workers);
+    return std::any_of(groups.begin(), groups.end(), fill);
 }
 
-bool Planner::isPreemptible(const TrackedRun& run, const ReadyStep& step)
+bool Planner::isPreemptible(const TrackedRun& run, const ReadyStep& step, TimePoint now)
 {
     const bool isEnding = run.phase == TrackedRun::Phase::Stopping || run.phase == TrackedRun::Phase::Stopped
         || run.phase == TrackedRun::Phase::Ended;
     const bool isResumable = run.spec.isCheckpointing && !run.spec.isGang && !run.spec.isLongRunning;
     return isEnding
         || (run.phase == TrackedRun::Phase::Confirmed && run.priority > step.queue.priority && isResumable
-            && run.percent < nearCompletionPercent);
+            && run.percent < nearCompletionPercent && !isNearlyDone(run, now));
 }
 
 Planner::PreemptionOption Planner::findPreemption(WorkerCapacity& worker, const ReadyStep& step) const
@@ -162,7 +170,7 @@
     PreemptionOption result { .worker = &worker, .victims = {} };
     std::vector<const TrackedRun*> runs;
     for (const auto* run : m_runController.runsOn(worker.tracked->incarnation())) {
-        if (isPreemptible(*run, step))
+        if (isPreemptible(*run, step, m_now))
             runs.push_back(run);
     }
     // Runs that are already ending cost nothing; then prefers large runs, so that few are preempted.
--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -32,6 +33,8 @@
     TimePoint expiresAt;
     /// Estimated run time from the start of this step to the end of the workflow.
     Duration criticalPath { 0 };
+    /// Learned run time of one task on a worker of speed 1. Missing: only the declared estimate is known.
+    std::optional<Duration> learnedRunTime;
     TimePoint readySince;
     /// Workers on which a run of the step has failed. They are avoided for some time, because they may have caused the
     /// failure.
@@ -39,6 +42,8 @@
 
     /// Latest start with which the workflow can still meet its deadline.
     TimePoint latestStart() const { return deadline - criticalPath; }
+    /// Expected run time of one task on a worker of speed 1.
+    Duration runTime() const { return learnedRunTime.value_or(spec->estimatedRunTime); }
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/RunController.cpp
+++ b/src/workflow/RunController.cpp
@@ -146,6 +146,12 @@
         run.maxExecutionDelay = std::min(run.maxExecutionDelay, queue->permission.validity);
 }
 
+void RunController::setLearnedRunTime(const RunRef& ref, Duration runTime)
+{
+    if (const auto found = m_runs.find(ref); found != m_runs.end())
+        found->second.learnedRunTime = runTime;
+}
+
 std::vector<const TrackedRun*> RunController::runsOn(const WorkerIncarnation& incarnation) const
 {
     std::vector<const TrackedRun*> runs;
@@ -203,6 +209,7 @@
     if (TrackedWorker* worker = m_workerTracker.find(run.incarnation))
         m_workerTracker.onRunEnded(*worker, outcome, now);
     run.phase = TrackedRun::Phase::Ended;
+    run.endedAt = now;
     m_unsettledRuns.erase(run.run);
     m_ends.push_back({ .run = run.run, .outcome = outcome, .checkpoint = std::move(checkpoint) });
     if (!run.isGang)
@@ -425,6 +432,8 @@
         return;
     run.phase = TrackedRun::Phase::Sent;
     run.sentAt = now;
+    run.firstSentAt = run.firstSentAt.value_or(now);
+    run.isResumed = !task->checkpoint.empty();
     run.leaseUntil = until;
     ++run.callsInFlight;
     if (!worker->pendingStartSince)
--- a/src/workflow/RunController.h
+++ b/src/workflow/RunController.h
@@ -39,6 +39,8 @@
     /// Adds a placement that is about to be proposed to the log; its capacity is allocated immediately.
     void addProposedRun(
         const RunRef&, const WorkerIncarnation&, const StepSpec&, uint32_t priority, std::string permissionToken);
+    /// Sets the expected run time of a run, which says when its capacity is expected to be free.
+    void setLearnedRunTime(const RunRef&, Duration);
     /// The placement was applied to the state, or was skipped as no longer applicable.
     void onPlacementCommitted(const RunRef&, bool isRecorded, TimePoint now);
 
--- a/src/workflow/RunControllerIncarnations.cpp
+++ b/src/workflow/RunControllerIncarnations.cpp
@@ -163,6 +163,7 @@
     next.leaseEnd = std::max(next.leaseEnd,
         now + run.maxExecutionDelay + WorkerClock::maxRealTime(m_settings.maxLease) + m_settings.leaseMargin);
     run.callsInFlight = 0;
+    run.acknowledgedAt.reset();
     const bool isKept = run.phase == TrackedRun::Phase::Confirmed && !run.isStopRequested && !mayStartLate;
     m_movedRuns.push_back({ .run = run.run, .to = run.incarnation, .isStopped = !isKept });
     next.hasMovedRuns = next.hasMovedRuns || isKept;
--- a/src/workflow/RunControllerResponses.cpp
+++ b/src/workflow/RunControllerResponses.cpp
@@ -55,6 +55,9 @@
         return;
     switch (response.status) {
     case WorkerRequestStatus::Done:
+        if (!run.isInherited && sender == MessageSender::Addressee && run.phase == TrackedRun::Phase::Sent)
+            run.acknowledgedAt = run.acknowledgedAt.value_or(now);
+        [[fallthrough]];
     case WorkerRequestStatus::Outdated: // The run existed and has ended; the next poll reports the outcome.
         onStartExecuted(run, sender, now);
         break;
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -35,6 +35,9 @@
     Duration leaseMargin { 100ms };
     /// Retention of ended workflows, longer than the time for which callers may query them.
     Duration endedWorkflowRetention { 150s };
+    /// Decisions use run times and worker speeds that are learned from finished runs; see RunTimeModel. If false, they
+    /// use the declared estimates, and all workers count as equally fast.
+    bool learnsRunTimes { true };
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/TrackedRun.h
+++ b/src/workflow/TrackedRun.h
@@ -60,6 +60,19 @@
     TimePoint lastProgressAt; // When `percent` last changed.
     StepSpec spec; // Copy of the step, which outlives the workflow's record.
 
+    // What the run time model needs; see FinishedRun.
+    /// Expected run time on this worker, or on the slowest one of the gang. Missing: only the declared estimate is
+    /// known.
+    std::optional<Duration> learnedRunTime;
+    std::optional<TimePoint> firstSentAt; // When the first start was sent.
+    /// When a response to this leader's start, sent to the current incarnation, was received. Missing if the run may
+    /// have started at another time.
+    std::optional<TimePoint> acknowledgedAt;
+    TimePoint endedAt; // When the end was received or detected.
+    bool isResumed { false }; // Started from a checkpoint.
+
+    Duration expectedRunTime() const { return learnedRunTime.value_or(spec.estimatedRunTime); }
+
     /// A start without an acknowledgement may be executed now or later, by any incarnation from the addressed one on.
     /// Only a confirmed stop or the time excludes it.
     bool mayStartLate(TimePoint now) const
--- a/src/workflow/TrackedWorker.h
+++ b/src/workflow/TrackedWorker.h
@@ -29,6 +29,8 @@
     /// When this leader received the profile, and the worker's clock when it was sent. Missing for recorded profiles.
     std::optional<TimePoint> profileReceivedAt;
     std::optional<WorkerClockMs> profileClock;
+    /// Learned speed; see RunTimeModel::speedOf().
+    double speed { 1 };
     /// Sum over runs that may occupy the worker, without the processors of tasks that use spare capacity.
     Resources used;
     /// Runs of tasks that may have crashed another worker.
--- a/src/workflow/WorkflowCommand.h
+++ b/src/workflow/WorkflowCommand.h
@@ -81,8 +81,13 @@
     std::vector<WorkflowId> ids;
 };
 
+/// Records the summary of the run time model, from which a new leader continues; see RunTimeModel::summary().
+struct RecordRunTimes {
+    std::string summary;
+};
+
 using WorkflowCommand = std::variant<ReplaceTable, AcceptWorkflow, CancelWorkflow, RemoveWorkflows, BeginOccurrence,
-    PlaceRuns, EndRuns, RecordWorkers, RemoveWorkers, RecordStarts>;
+    PlaceRuns, EndRuns, RecordWorkers, RemoveWorkers, RecordStarts, RecordRunTimes>;
 
 /// Payload of one log entry: commands that are applied together, in order.
 std::string encodeCommands(const std::vector<WorkflowCommand>&);
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -10,6 +10,8 @@
 constexpr uint64_t crashCountsFormat = 2;
 /// First format of snapshots and log entries with organisations.
 constexpr uint64_t organisationsFormat = 4;
+/// First format of snapshots with the summary of the run time model.
+constexpr uint64_t runTimesFormat = 5;
 
 // The largest recorded value of each enumeration; larger values are rejected as corrupt.
 constexpr RunOutcome lastValueOf(RunOutcome) { return RunOutcome::WorkerMayHaveCrashed; }
@@ -119,5 +121,6 @@
 template <typename V> void visitFields(V& visit, SameAs<RecordWorkers> auto& x) { visit(x.profiles); }
 template <typename V> void visitFields(V& visit, SameAs<RemoveWorkers> auto& x) { visit(x.incarnations); }
 template <typename V> void visitFields(V& visit, SameAs<RecordStarts> auto& x) { visit(x.ids); }
+template <typename V> void visitFields(V& visit, SameAs<RecordRunTimes> auto& x) { visit(x.summary); }
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -26,9 +26,12 @@
 int64_t toMs(WallTime wall) { return wall.time_since_epoch() / 1ms; }
 
 /// Time from acceptance within which a workflow meets its objective.
-Duration objectiveOf(const WorkflowSpec& spec, const Queue& queue)
+Duration objectiveOf(const WorkflowSpec& spec, const Queue& queue, const std::vector<Duration>& runTimes)
 {
-    return criticalPathLength(spec) * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
+    Duration criticalPath { 0 };
+    for (uint32_t step = 0; step < spec.steps.size(); ++step)
+        criticalPath = std::max(criticalPath, criticalPathLengthFrom(spec, step, runTimes));
+    return criticalPath * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
 }
 
 } // namespace
@@ -57,6 +60,7 @@
     for (const auto& [id, profile] : m_state.workers())
         m_workerTracker.addRecorded(profile, now);
     m_runController.takeOverRuns(fence, now);
+    restoreRunTimes(now);
     for (const auto& [id, record] : m_state.workflows())
         m_changedWorkflows.insert(id);
     refreshChangedWorkflows(now, wall);
@@ -111,7 +115,8 @@
     ProposedWorkflow& proposed = entry->second;
     proposed.spec = command.spec;
     proposed.proposedAt = now;
-    const Duration objective = objectiveOf(proposed.spec, *queue);
+    const auto runTimes = learnedRunTimes(queue->name, proposed.spec);
+    const Duration objective = objectiveOf(proposed.spec, *queue, runTimes);
     for (uint32_t step = 0; step < proposed.spec.steps.size(); ++step) {
         const StepSpec& spec = proposed.spec.steps[step];
         if (!spec.dependencies.empty())
@@ -123,7 +128,8 @@
             .isAccepted = false,
             .deadline = now + objective,
             .expiresAt = now + objective * expiryObjectives,
-            .criticalPath = criticalPathLengthFrom(proposed.spec, step),
+            .criticalPath = criticalPathLengthFrom(proposed.spec, step, runTimes),
+            .learnedRunTime = m_settings.learnsRunTimes ? std::optional(runTimes[step]) : std::nullopt,
             .readySince = now,
             .avoidedWorkers = {} });
         for (uint32_t index = 0; index < spec.count; ++index)
@@ -233,6 +239,7 @@
         if (!run)
             continue;
         m_observer.onRunEnded(end.run, run->incarnation, end.outcome);
+        learnFromEnd(*run, end.outcome, now);
         const auto tracked = m_trackedWorkflows.find(end.run.task.step.workflow);
         if (end.outcome == RunOutcome::Failed && tracked != m_trackedWorkflows.end())
             tracked->second.failedWorkers[end.run.task.step].insert(run->incarnation.worker);
@@ -244,10 +251,12 @@
     recordWorkers(output.commands);
     removeStaleWorkers(output.commands, now);
     removeEndedWorkflows(output.commands, now);
+    refreshSpeeds(now);
     if (m_batchesInFlight.size() < maxBatchesInFlight)
         placeReadySteps(output, batch, now);
 
     recordStarts(output.commands, now);
+    recordRunTimes(output.commands, now);
     // Ends of runs that are not in the recorded state need no log entry.
     const bool areEndsInFlight = std::any_of(m_batchesInFlight.begin(), m_batchesInFlight.end(),
         [](const auto& item) { return !item.second.ended.empty(); });
@@ -316,6 +325,7 @@
         return;
     removeReadySteps(known->second);
     m_trackedWorkflows.erase(known);
+    m_learnedGangs.erase(id);
     if (const auto due = m_nextOccurrenceMs.find(id); due != m_nextOccurrenceMs.end()) {
         m_timedWorkflows.erase({ due->second, id });
         m_nextOccurrenceMs.erase(due);
@@ -371,7 +381,8 @@
     const WorkflowRecord& record, TrackedWorkflow& tracked, TimePoint now, WallTime wall)
 {
     const Queue queue = queueOf(record);
-    const Duration objective = objectiveOf(record.spec, queue);
+    const auto runTimes = learnedRunTimes(record.queue, record.spec);
+    const Duration objective = objectiveOf(record.spec, queue, runTimes);
     for (const auto& occurrence : record.occurrences) {
         TimePoint begin = tracked.acceptedAt;
         if (record.spec.isTimed()) {
@@ -389,7 +400,8 @@
                     [](const TaskRecord& task) { return task.isSuspect(); }),
                 .deadline = begin + objective,
                 .expiresAt = begin + objective * expiryObjectives,
-                .criticalPath = criticalPathLengthFrom(record.spec, step),
+                .criticalPath = criticalPathLengthFrom(record.spec, step, runTimes),
+                .learnedRunTime = m_settings.learnsRunTimes ? std::optional(runTimes[step]) : std::nullopt,
                 .readySince = now,
                 .avoidedWorkers = {} };
             if (ready.tasks.empty()) {
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "workflow/EarlyCancellations.h"
 #include "workflow/Planner.h"
 #include "workflow/RunController.h"
+#include "workflow/RunTimeModel.h"
 #include "workflow/WorkflowListener.h"
 #include "workflow/WorkflowRecord.h"
 
@@ -90,6 +92,10 @@
     const WorkerTracker& workerTracker() const { return m_workerTracker; }
     const RunController& runController() const { return m_runController; }
     size_t readyStepCount() const { return m_readySteps.size(); }
+    /// Empty unless the settings let the scheduler learn run times.
+    const RunTimeModel& runTimeModel() const { return m_runTimeModel; }
+    /// Why this leadership could not read the recorded summary of the model and began with an empty one, if so.
+    const std::optional<Error>& runTimeSummaryError() const { return m_runTimeSummaryError; }
 
 private:
     struct ProposedTable {
@@ -139,6 +145,18 @@
     void removeEndedWorkflows(std::vector<WorkflowCommand>&, TimePoint now);
     AdmissionController::Load waitingLoad(TimePoint now) const;
     void placeReadySteps(Output&, Batch&, TimePoint now);
+    /// Elapsed and expected times of the running tasks of a step, for a person.
+    std::string describeRuns(const StepRef&, TimePoint now) const;
+    /// Expected run time of a task on a worker of speed 1.
+    Duration learnedRunTime(const QueueName&, const StepSpec&) const;
+    std::vector<Duration> learnedRunTimes(const QueueName&, const WorkflowSpec&) const;
+    /// The specification with learned run times instead of the declared ones, for decisions only.
+    WorkflowSpec withLearnedRunTimes(const QueueName&, WorkflowSpec) const;
+    void restoreRunTimes(TimePoint now);
+    void refreshSpeeds(TimePoint now);
+    bool isFirstEndOfGang(const RunRef&);
+    void learnFromEnd(const TrackedRun&, RunOutcome, TimePoint now);
+    void recordRunTimes(std::vector<WorkflowCommand>&, TimePoint now);
     void reportPlacements(const std::vector<Planner::Placement>&, TimePoint now);
 
     SchedulerSettings m_settings;
@@ -153,6 +171,13 @@
     Planner m_planner;
     AdmissionController m_admissionController;
     EarlyCancellations m_earlyCancellations;
+    RunTimeModel m_runTimeModel;
+    std::optional<Error> m_runTimeSummaryError;
+    /// Run number of the latest sample of each gang of an active workflow.
+    std::map<WorkflowId, std::map<StepRef, uint32_t>> m_learnedGangs;
+    uint64_t m_recordedRevision { 0 }; // Of the model when its summary was last recorded.
+    TimePoint m_nextSummaryAt;
+    TimePoint m_nextSpeedRefreshAt;
 
     std::set<WorkflowId> m_changedWorkflows;
     std::map<WorkflowId, TrackedWorkflow> m_trackedWorkflows;
--- a/src/workflow/WorkflowSchedulerPlacement.cpp
+++ b/src/workflow/WorkflowSchedulerPlacement.cpp
@@ -48,6 +48,8 @@
         command.entries.push_back({ .run = placement.run, .incarnationIndex = incarnation->second });
         m_runController.addProposedRun(placement.run, placement.incarnation, *placement.spec, placement.priority,
             std::move(placement.permissionToken));
+        if (placement.learnedRunTime)
+            m_runController.setLearnedRunTime(placement.run, *placement.learnedRunTime);
         batch.placed.push_back(placement.run);
         m_tasksBeingPlaced.insert(placement.run.task);
         // The task must not be placed again until the placement is committed.
@@ -91,8 +93,8 @@
 std::optional<AdmissionController::Rejection> WorkflowScheduler::checkAdmission(
     const Queue& queue, const WorkflowSpec& spec, double jitter, TimePoint now) const
 {
-    return m_admissionController.checkAdmission(
-        queue, spec, waitingLoad(now), m_workerTracker.capacity(queue.pool, now), jitter, now);
+    return m_admissionController.checkAdmission(queue, withLearnedRunTimes(queue.name, spec), waitingLoad(now),
+        m_workerTracker.capacity(queue.pool, now), jitter, now);
 }
 
 AdmissionController::Load WorkflowScheduler::waitingLoad(TimePoint now) const
@@ -107,7 +109,7 @@
             .isLate = order.isLate(),
             .latestStart = step.latestStart(),
             .work = static_cast<double>(step.tasks.size()) * static_cast<double>(spec.perTask.millicores.count())
-                * static_cast<double>(spec.estimatedRunTime.count()) });
+                * static_cast<double>(step.runTime().count()) });
     }
     return load;
 }
--- a/src/workflow/WorkflowSpec.cpp
+++ b/src/workflow/WorkflowSpec.cpp
@@ -67,11 +67,20 @@
 }
 
 Duration criticalPathLengthFrom(const WorkflowSpec& spec, uint32_t step)
+{
+    std::vector<Duration> runTimes;
+    runTimes.reserve(spec.steps.size());
+    for (const auto& declared : spec.steps)
+        runTimes.push_back(declared.estimatedRunTime);
+    return criticalPathLengthFrom(spec, step, runTimes);
+}
+
+Duration criticalPathLengthFrom(const WorkflowSpec& spec, uint32_t step, const std::vector<Duration>& runTimes)
 {
     // Steps depend only on earlier ones, so a reverse pass visits each successor before its predecessors.
     std::vector<Duration> lengths(spec.steps.size());
     for (size_t i = spec.steps.size(); i-- > step;) {
-        lengths[i] += spec.steps[i].estimatedRunTime;
+        lengths[i] += runTimes[i];
         for (const uint32_t earlier : spec.steps[i].dependencies) {
             if (earlier >= step)
                 lengths[earlier] = std::max(lengths[earlier], lengths[i]);
--- a/src/workflow/WorkflowSpec.h
+++ b/src/workflow/WorkflowSpec.h
@@ -35,4 +35,7 @@
 /// Estimated run time of the longest dependency path that starts with this step.
 Duration criticalPathLengthFrom(const WorkflowSpec&, uint32_t step);
 
+/// The same with other run times, one for each step of the workflow.
+Duration criticalPathLengthFrom(const WorkflowSpec&, uint32_t step, const std::vector<Duration>& runTimes);
+
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -14,7 +14,7 @@
 
 // Incremented when the snapshot layout changes; older formats from oldestSnapshotFormat on are still read.
 constexpr uint64_t removedQueuesFormat = 3;
-constexpr uint64_t snapshotFormat = organisationsFormat;
+constexpr uint64_t snapshotFormat = runTimesFormat;
 constexpr uint64_t oldestSnapshotFormat = 1;
 
 /// Workers that may crash under one task before its workflow fails. The first crash may have any cause, and the second
@@ -52,6 +52,7 @@
     writer(static_cast<uint64_t>(m_data.workers.size()));
     for (const auto& [id, profile] : m_data.workers)
         writer(profile);
+    writer(m_data.runTimeSummary);
     return writer.finish();
 }
 
@@ -90,6 +91,8 @@
         const WorkerId id = profile.incarnation.worker;
         data.workers.insert_or_assign(id, std::move(profile));
     }
+    if (format >= runTimesFormat)
+        reader(data.runTimeSummary);
     // Rejects runs with an index outside of the incarnation table.
     for (const auto& [id, record] : data.workflows) {
         for (const auto& occurrence : record.occurrences) {
@@ -430,6 +433,8 @@
     }
 }
 
+void WorkflowState::applyCommand(const RecordRunTimes& command) { m_data.runTimeSummary = command.summary; }
+
 void WorkflowState::notifyChanged(const WorkflowId& id)
 {
     if (m_listener)
--- a/src/workflow/WorkflowState.h
+++ b/src/workflow/WorkflowState.h
@@ -41,6 +41,9 @@
     /// Known workers with their latest incarnation.
     const std::map<WorkerId, WorkerProfile>& workers() const { return m_data.workers; }
 
+    /// Latest recorded summary of the run time model; empty if there is none.
+    const std::string& runTimeSummary() const { return m_data.runTimeSummary; }
+
     /// A placed run and the incarnation that it may occupy.
     struct PlacedRun {
         RunRef run;
@@ -62,6 +65,7 @@
         std::map<WorkflowId, WorkflowRecord> workflows;
         std::vector<IncarnationEntry> incarnations;
         std::map<WorkerId, WorkerProfile> workers;
+        std::string runTimeSummary;
     };
 
     void applyCommand(const ReplaceTable&);
@@ -74,6 +78,7 @@
     void applyCommand(const RecordWorkers&);
     void applyCommand(const RemoveWorkers&);
     void applyCommand(const RecordStarts&);
+    void applyCommand(const RecordRunTimes&);
 
     void keepQueuesInUse(const QueueTable& next);
     static void beginOccurrences(WorkflowRecord&, uint32_t upTo);
