--- a/src/workflow/WorkflowSchedulerPlacement.cpp
+++ b/src/workflow/WorkflowSchedulerPlacement.cpp
@@ -48,6 +48,8 @@
         command.entries.push_back({ .run = placement.run, .incarnationIndex = incarnation->second });
         m_runController.addProposedRun(placement.run, placement.incarnation, *placement.spec, placement.priority,
             std::move(placement.permissionToken));
+        if (placement.learnedRunTime)
+            m_runController.setLearnedRunTime(placement.run, *placement.learnedRunTime);
         batch.placed.push_back(placement.run);
         m_tasksBeingPlaced.insert(placement.run.task);
         // The task must not be placed again until the placement is committed.
@@ -92,7 +94,7 @@
     const Queue& queue, const OrganisationName& organisation, const WorkflowSpec& spec, double jitter, TimePoint now)
 {
     return m_organisationAdmission.check({ .queue = queue,
-                                             .spec = spec,
+                                             .spec = withLearnedRunTimes(queue.name, spec),
                                              .organisation = organisation,
                                              .organisations = m_state.table().organisations,
                                              .usage = m_runController.organisationUsage(),
@@ -120,10 +122,10 @@
             .work = isSpare
                 ? 0
                 : static_cast<double>(step.tasks.size()) * static_cast<double>(spec.perTask.millicores.count())
-                    * static_cast<double>(spec.estimatedRunTime.count()),
+                    * static_cast<double>(step.runTime().count()),
             .organisation = organisation,
             .demand = spec.perTask * static_cast<int64_t>(step.tasks.size()),
-            .runTime = spec.estimatedRunTime });
+            .runTime = step.runTime() });
     }
     return load;
 }
