Check organisations of a table, and decide for whom a call is made

Cause: the table held organisations that nothing checked or used.

Change: checkQueueTable rejects organisations with invalid names, keys, weights or limits, and tables that fit no log entry with their digests. QueueTable::authenticate decides by an index of the key digests, which each host derives when it applies or restores a table; QueueTable::mayAccess says which workflows a caller reaches. ReadyStep has the organisation of its workflow, and explain names it. Weights are rounded to thousandths when they are recorded; 2.3 was recorded as 2.299 before.

--- a/src/workflow/Explanation.cpp
+++ b/src/workflow/Explanation.cpp
@@ -34,6 +34,8 @@
     if (!record)
         return {};
     std::string text = fmt::format("Workflow {} {}.", id.value(), describePhase(*record));
+    if (!record->organisation.isEmpty())
+        text += fmt::format(" It belongs to organisation {}.", record->organisation.value());
     if (!record->isActive()) {
         if (record->placed)
             text += fmt::format(" {} of its runs still occupy workers until they report their end.", record->placed);
--- a/src/workflow/KeyDigest.cpp
+++ b/src/workflow/KeyDigest.cpp
@@ -1,5 +1,6 @@
 #include "workflow/KeyDigest.h"
 
+#include <cstring>
 #include <sodium/crypto_generichash.h>
 #include <sodium/utils.h>
 
@@ -14,6 +15,14 @@
     return digest;
 }
 
+uint64_t KeyDigest::prefix() const
+{
+    uint64_t value = 0;
+    if (m_bytes.size() >= sizeof(value))
+        std::memcpy(&value, m_bytes.data(), sizeof(value));
+    return value;
+}
+
 bool KeyDigest::matches(const KeyDigest& other) const
 {
     return !isEmpty() && m_bytes.size() == other.m_bytes.size()
--- a/src/workflow/KeyDigest.h
+++ b/src/workflow/KeyDigest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,8 @@
     static KeyDigest of(std::string_view key);
     /// True for a default-constructed digest, which stands for a call without a key and equals no key's digest.
     bool isEmpty() const { return m_bytes.empty(); }
+    /// First eight bytes, for an index; zero for an empty digest.
+    uint64_t prefix() const;
     /// Takes the same time wherever the digests differ.
     bool matches(const KeyDigest&) const;
 
--- a/src/workflow/Organisation.h
+++ b/src/workflow/Organisation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -9,6 +10,17 @@
 
 namespace hickoryknot::workflow {
 
+constexpr size_t maxOrganisations = 1024;
+constexpr size_t maxKeysOfOrganisation = 64;
+/// Longer keys are rejected in tables and belong to nobody in calls.
+constexpr size_t maxKeyBytes = 256;
+/// Names appear in log lines, metrics and explanations.
+constexpr size_t maxOrganisationNameBytes = 128;
+/// Far above any number of jobs per second; the weight is recorded in thousandths as an integer.
+constexpr double maxWeight = 1e9;
+/// In any dimension; JSON numbers are exact up to it.
+constexpr int64_t maxOrganisationLimit = int64_t { 1 } << 53;
+
 /// A customer whose callers identify themselves by keys. Shares capacity with the others by weight.
 struct Organisation {
     OrganisationName name;
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -1,18 +1,81 @@
 #include "workflow/QueueTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
+#include <map>
 #include <set>
 
+#include "workflow/WorkflowFields.h"
+
 namespace hickoryknot::workflow {
 
 namespace {
 
 /// A log entry has at most 4 MiB and holds the document and its rows.
 constexpr size_t maxDocumentBytes = size_t { 3 } * 512 * 1024;
+/// Document, rows and digests as recorded; leaves a batch of commands room for others in the log entry. Short keys have
+/// digests longer than their text, so the bound of the document does not bound them.
+constexpr size_t maxEncodedTableBytes = size_t { 7 } * 512 * 1024;
 
 tl::unexpected<Error> invalid(std::string message) { return makeError(ErrorCode::InvalidArgument, std::move(message)); }
 
+Expected<void> checkLimit(const Organisation& organisation, const char* dimension, int64_t value)
+{
+    if (value >= 0 && value <= maxOrganisationLimit)
+        return {};
+    return invalid(fmt::format("field maxCount.{} of organisation {} must be 0 or more and at most 2^53", dimension,
+        organisation.name.value()));
+}
+
+Expected<void> checkOrganisation(const Organisation& organisation)
+{
+    const auto& name = organisation.name.value();
+    if (organisation.keys.size() > maxKeysOfOrganisation)
+        return invalid(fmt::format("field apiKeys of organisation {} has {} keys; at most {} are allowed", name,
+            organisation.keys.size(), maxKeysOfOrganisation));
+    if (std::any_of(organisation.keys.begin(), organisation.keys.end(), [](const auto& key) { return key.isEmpty(); }))
+        return invalid(fmt::format("field apiKeys of organisation {} has an empty key", name));
+    // False for a value that is not a number.
+    const bool isWeightInRange = organisation.weight >= 0 && organisation.weight <= maxWeight;
+    if (!isWeightInRange)
+        return invalid(fmt::format("field weight of organisation {} must be 0 or more and at most 1e9", name));
+    const Resources& limit = organisation.limit;
+    if (auto checked = checkLimit(organisation, "cpu", limit.millicores.count()); !checked)
+        return checked;
+    if (auto checked = checkLimit(organisation, "memMb", limit.mebibytes.count()); !checked)
+        return checked;
+    return checkLimit(organisation, "gpu", limit.accelerators.count());
+}
+
+Expected<void> checkOrganisations(const std::vector<Organisation>& organisations)
+{
+    if (organisations.size() > maxOrganisations)
+        return invalid(fmt::format(
+            "field tenants has {} organisations; at most {} are allowed", organisations.size(), maxOrganisations));
+    std::set<OrganisationName> names;
+    std::map<KeyDigest, const Organisation*> owners;
+    for (size_t i = 0; i < organisations.size(); ++i) {
+        const Organisation& organisation = organisations[i];
+        const auto& name = organisation.name.value();
+        // The name itself may be too long to repeat.
+        if (name.empty() || name.size() > maxOrganisationNameBytes)
+            return invalid(fmt::format(
+                "field name of organisation number {} must have 1 to {} bytes", i + 1, maxOrganisationNameBytes));
+        if (!names.insert(organisation.name).second)
+            return invalid(fmt::format("field name: organisation {} stands twice", name));
+        if (auto checked = checkOrganisation(organisation); !checked)
+            return checked;
+        for (const auto& key : organisation.keys) {
+            const Organisation* owner = owners.try_emplace(key, &organisation).first->second;
+            if (owner != &organisation)
+                return invalid(
+                    fmt::format("field apiKeys: organisations {} and {} share a key", owner->name.value(), name));
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 std::optional<QueueTable::Target> QueueTable::resolve(std::string_view callerHost, std::string_view path) const
@@ -47,6 +110,38 @@
     return found == organisations.end() ? nullptr : &*found;
 }
 
+Authentication QueueTable::authenticate(const Queue& queue, const KeyDigest& key) const
+{
+    if (organisations.empty() || queue.isPublic)
+        return { .isAuthorised = true, .organisation = {} };
+    if (key.isEmpty())
+        return {};
+    if (!keyIndex.isEmpty()) {
+        const OrganisationName* owner = keyIndex.find(key);
+        return owner ? Authentication { .isAuthorised = true, .organisation = *owner } : Authentication {};
+    }
+    Authentication result;
+    for (const auto& organisation : organisations) {
+        for (const auto& known : organisation.keys) {
+            if (known.matches(key))
+                result = { .isAuthorised = true, .organisation = organisation.name };
+        }
+    }
+    return result;
+}
+
+bool QueueTable::mayAccess(const Queue& calledQueue, const OrganisationName& caller, const WorkflowOwner& owner) const
+{
+    if (organisations.empty())
+        return true;
+    if (!caller.isEmpty())
+        return owner.organisation.isEmpty() || owner.organisation == caller;
+    if (owner.queue == calledQueue.name)
+        return true;
+    const Queue* queue = find(owner.queue);
+    return owner.organisation.isEmpty() && (!queue || queue->isPublic);
+}
+
 Expected<void> checkQueueTable(const QueueTable& table)
 {
     if (table.document.size() > maxDocumentBytes)
@@ -72,6 +167,13 @@
         if (queue.callTimeout <= Duration::zero())
             return invalid(fmt::format("the call timeout of queue {} is zero", name));
     }
+    if (auto checked = checkOrganisations(table.organisations); !checked)
+        return checked;
+    FieldWriter writer;
+    writer(table);
+    if (const size_t size = writer.finish().size(); size > maxEncodedTableBytes)
+        return makeError(ErrorCode::TooLarge,
+            fmt::format("the table takes {} bytes with its keys; at most {} are allowed", size, maxEncodedTableBytes));
     return {};
 }
 
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cmath>
+
 #include "state/StateFields.h"
 #include "workflow/WorkflowCommand.h"
 #include "workflow/WorkflowRecord.h"
@@ -53,7 +55,7 @@
 // The weight is stored in thousandths, since fields hold integers.
 inline void visitFields(FieldWriter& visit, const Organisation& x)
 {
-    visit(x.name, x.keys, static_cast<uint64_t>(x.weight * weightScale), x.limit);
+    visit(x.name, x.keys, static_cast<uint64_t>(std::llround(x.weight * weightScale)), x.limit);
 }
 inline void visitFields(FieldReader& visit, Organisation& x)
 {
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -118,6 +118,7 @@
             continue;
         ReadyStep& ready = proposed.firstSteps.emplace_back(ReadyStep { .ref = { command.id, 0, step },
             .spec = &spec,
+            .organisation = command.organisation,
             .queue = *queue,
             .tasks = {},
             .isAccepted = false,
@@ -383,6 +384,7 @@
             const StepRef ref { record.id, occurrence.number, step };
             ReadyStep ready { .ref = ref,
                 .spec = &spec,
+                .organisation = record.organisation,
                 .queue = queue,
                 .tasks = readyTasks(record, occurrence, step),
                 .isSuspect = std::any_of(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -103,6 +103,7 @@
     }
     if (auto finished = reader.finish(); !finished)
         return finished;
+    data.table.indexKeys();
     m_data = std::move(data);
     return {};
 }
@@ -150,6 +151,7 @@
         return;
     keepQueuesInUse(command.table);
     m_data.table = command.table;
+    m_data.table.indexKeys();
     if (m_listener)
         m_listener->onTableChanged();
 }
