Require a valid key for calls, and hide workflows from other organisations

Cause: every call was executed, whoever sent it.

Change: submissions, status reads and cancellations carry the digest of the caller's key. The leader decides by its table in every handler, after the check of the queue; a follower that would not serve a read forwards it, since its table may be older. Workflows of another organisation are unknown to a caller (IdTaken for a submission), also while their acceptance is being committed. A cancellation of an unknown workflow holds for its caller's organisation only, since one could otherwise prevent the submissions of another. A submission answered Unauthorised after an attempt without a reply is uncertain. Calls without a valid key are counted, and logged once a second at most (event 119).

--- a/src/control/ControlCall.h
+++ b/src/control/ControlCall.h
@@ -20,6 +20,8 @@
 struct CallerAddress {
     std::string requestedHost;
     std::string path;
+    /// Digest of the caller's key. The host that decides the call compares it with its own table.
+    workflow::KeyDigest key {};
 };
 
 /// Submits a workflow. Submitting a known id again succeeds and changes nothing.
--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -9,9 +9,12 @@
 
 namespace hickoryknot {
 
-constexpr ControlStatus lastValueOf(ControlStatus) { return ControlStatus::Uncertain; }
+constexpr ControlStatus lastValueOf(ControlStatus) { return ControlStatus::IdTaken; }
 
-template <typename V> void visitFields(V& visit, SameAs<CallerAddress> auto& x) { visit(x.requestedHost, x.path); }
+template <typename V> void visitFields(V& visit, SameAs<CallerAddress> auto& x)
+{
+    visit(x.requestedHost, x.path, x.key);
+}
 template <typename V> void visitFields(V& visit, SameAs<SubmitCall> auto& x) { visit(x.address, x.spec); }
 template <typename V> void visitFields(V& visit, SameAs<StatusCall> auto& x) { visit(x.address, x.minTableVersion); }
 template <typename V> void visitFields(V& visit, SameAs<CancelCall> auto& x) { visit(x.address); }
@@ -70,7 +73,7 @@
 const char* controlStatusName(ControlStatus status)
 {
     constexpr std::array names { "done", "noSuchQueue", "noSuchWorkflow", "refused", "invalid", "notReady", "notLeader",
-        "uncertain" };
+        "uncertain", "unauthorised", "idTaken" };
     return names[static_cast<size_t>(status)];
 }
 
--- a/src/control/ControlReply.h
+++ b/src/control/ControlReply.h
@@ -21,6 +21,8 @@
     NotReady, // Not accepted: there is no queue table yet, or a new leader is taking over.
     NotLeader, // Not executed; `leader` is the current leader, if known.
     Uncertain, // The change may or may not be committed.
+    Unauthorised, // Not executed: the queue needs a key, and the call has none or an unknown one.
+    IdTaken, // Not accepted: the workflow with this id belongs to another organisation.
 };
 
 const char* controlStatusName(ControlStatus);
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -1,6 +1,7 @@
 #include "control/DecisionLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickoryknot {
 
@@ -10,6 +11,8 @@
 
 /// Minimum time between two log lines that report lines left out.
 constexpr Duration summaryPeriod = 1s;
+/// Minimum time between two lines about calls without a valid key.
+constexpr Duration unauthorisedLinePeriod = 1s;
 
 std::string milliseconds(Duration duration) { return std::to_string(duration / 1ms); }
 
@@ -26,6 +29,7 @@
     , m_moved(m_metrics.counter("hickoryknot_runs_moved_total", "Runs that may be on a worker's next incarnation"))
     , m_ended(m_metrics.counter("hickoryknot_runs_not_done_total", "Runs that ended otherwise than done"))
     , m_permissionCalls(m_metrics.counter("hickoryknot_permission_calls_total", "Calls to the permission service"))
+    , m_unauthorised(m_metrics.counter("hickoryknot_calls_unauthorised_total", "Calls without a valid key"))
     , m_commitTime(m_metrics.latency("hickoryknot_commit_seconds", "From a submission to its record"))
     , m_waitTime(m_metrics.latency("hickoryknot_task_wait_seconds", "From ready to placed"))
     , m_workflowTime(m_metrics.latency("hickoryknot_workflow_seconds", "From acceptance to the final state"))
@@ -139,6 +143,17 @@
     writeEssential(Event::JobCancelled, "a caller cancelled a workflow", { { "workflow", id.value() } });
 }
 
+void DecisionLog::onUnauthorisedCall(const QueueName& queue, TimePoint now)
+{
+    m_metrics.add(m_unauthorised);
+    ++m_unauthorisedSinceLine;
+    if (now < m_nextUnauthorisedLine)
+        return;
+    m_nextUnauthorisedLine = now + unauthorisedLinePeriod;
+    writeEssential(Event::CallUnauthorised, "refused calls without a valid key",
+        { { "queue", queue.value() }, { "calls", std::to_string(std::exchange(m_unauthorisedSinceLine, 0)) } });
+}
+
 void DecisionLog::onPermissionResponse(
     const StepRef& step, size_t requestedWorkers, size_t grantedWorkers, Duration callTime)
 {
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -29,6 +29,9 @@
     void onRefused(
         const workflow::WorkflowId&, const workflow::QueueName&, const workflow::AdmissionController::Rejection&);
     void onCancelled(const workflow::WorkflowId&);
+    /// A call for this queue came without a valid key. Writes at most one line per second, so that such calls take
+    /// little of the budget.
+    void onUnauthorisedCall(const workflow::QueueName&, TimePoint now);
     void onPermissionResponse(
         const workflow::StepRef&, size_t requestedWorkers, size_t grantedWorkers, Duration callTime);
     /// A scheduling cycle started `delay` after it was due and took `duration`.
@@ -57,6 +60,7 @@
     CounterId m_moved;
     CounterId m_ended;
     CounterId m_permissionCalls;
+    CounterId m_unauthorised;
     LatencyId m_commitTime;
     LatencyId m_waitTime;
     LatencyId m_workflowTime;
@@ -65,6 +69,8 @@
     LatencyId m_cycleTime;
     LogBudget m_budget;
     TimePoint m_nextSummary;
+    TimePoint m_nextUnauthorisedLine;
+    uint64_t m_unauthorisedSinceLine { 0 };
 };
 
 } // namespace hickoryknot
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -163,7 +163,8 @@
     m_lastLeaderContact = now;
     // An earlier attempt without a reply may still reach the leader and be accepted there, so this refusal is not
     // final.
-    const bool isRefusal = reply.status == ControlStatus::Refused || reply.status == ControlStatus::NotReady;
+    const bool isRefusal = reply.status == ControlStatus::Refused || reply.status == ControlStatus::NotReady
+        || (reply.status == ControlStatus::Unauthorised && std::holds_alternative<SubmitCall>(pending->call));
     if (isRefusal && pending->mayHaveExecuted) {
         reply.message += "; an earlier attempt went without a reply";
         reply.status = ControlStatus::Uncertain;
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -220,7 +220,7 @@
                 if (acceptance == m_pendingAcceptances.end())
                     continue;
                 if (result)
-                    m_log.onAccepted(id, queue, steadyNow() - acceptance->second);
+                    m_log.onAccepted(id, queue, steadyNow() - acceptance->second.submittedAt);
                 m_pendingAcceptances.erase(acceptance);
             }
             const bool isNotExecuted = !result && result.error().code == ErrorCode::NotLeader;
--- a/src/control/WorkflowHost.h
+++ b/src/control/WorkflowHost.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "app/GroupRunner.h"
@@ -70,6 +71,18 @@
         ControlReply reply;
     };
 
+    /// A workflow whose acceptance is not committed yet.
+    struct PendingAcceptance {
+        TimePoint submittedAt;
+        workflow::WorkflowOwner owner;
+    };
+
+    /// Target of a caller's call and the organisation on whose behalf it is made.
+    struct AuthorisedTarget {
+        workflow::QueueTable::Target target;
+        workflow::OrganisationName organisation;
+    };
+
     WorkflowHost(
         boost::asio::io_context&, const WorkflowHostSettings&, HostMessageLinks&, WorkerClient&, PermissionService*);
     Expected<void> start();
@@ -84,6 +97,10 @@
     void handle(const HostHeartbeatCall&, const Respond&);
     void handle(const ExplainCall&, const Respond&);
 
+    /// Finds the queue and checks the key. Error: the reply to the caller, NotReady, NoSuchQueue or Unauthorised.
+    tl::expected<AuthorisedTarget, ControlReply> authorise(const CallerAddress&, TimePoint now);
+    /// Empty if the workflow is neither recorded nor being committed.
+    std::optional<workflow::WorkflowOwner> ownerOf(const workflow::WorkflowId&) const;
     /// Adds the command to the next batch. Sends the reply once the batch is committed.
     void enqueueCommand(workflow::WorkflowCommand, const Respond&, ControlReply);
     /// How long events are collected before the next scheduling cycle.
@@ -112,8 +129,7 @@
 
     std::vector<workflow::WorkflowCommand> m_queuedCommands;
     std::vector<PendingReply> m_pendingReplies;
-    /// Workflows whose acceptance is not committed yet, with the time of submission.
-    std::map<workflow::WorkflowId, TimePoint> m_pendingAcceptances;
+    std::map<workflow::WorkflowId, PendingAcceptance> m_pendingAcceptances;
     std::map<HostId, TrackedHost> m_hosts;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_cycleTimer;
--- a/src/control/WorkflowHostCalls.cpp
+++ b/src/control/WorkflowHostCalls.cpp
@@ -77,6 +77,12 @@
     // The acceptance of a workflow that is missing here may not be replicated yet.
     if (!record)
         return std::nullopt;
+    // The leader may have a newer table. It refuses the call if it has not.
+    const auto caller = table.authenticate(*target->queue, call.address.key);
+    if (!caller.isAuthorised
+        || !table.mayAccess(
+            *target->queue, caller.organisation, { .queue = record->queue, .organisation = record->organisation }))
+        return std::nullopt;
     auto reply = makeReply(ControlStatus::Done);
     reply.phase = record->phase;
     reply.hasStarted = record->hasStarted;
@@ -85,6 +91,31 @@
     return reply;
 }
 
+tl::expected<WorkflowHost::AuthorisedTarget, ControlReply> WorkflowHost::authorise(
+    const CallerAddress& address, TimePoint now)
+{
+    const QueueTable& table = m_state.table();
+    if (!table.version)
+        return tl::unexpected(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
+    auto target = table.resolve(address.requestedHost, address.path);
+    if (!target)
+        return tl::unexpected(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
+    auto caller = table.authenticate(*target->queue, address.key);
+    if (!caller.isAuthorised) {
+        m_log.onUnauthorisedCall(target->queue->name, now);
+        return tl::unexpected(makeReply(ControlStatus::Unauthorised, "the call has no valid key"));
+    }
+    return AuthorisedTarget { .target = std::move(*target), .organisation = std::move(caller.organisation) };
+}
+
+std::optional<WorkflowOwner> WorkflowHost::ownerOf(const WorkflowId& id) const
+{
+    if (const WorkflowRecord* record = m_state.find(id))
+        return WorkflowOwner { .queue = record->queue, .organisation = record->organisation };
+    const auto pending = m_pendingAcceptances.find(id);
+    return pending == m_pendingAcceptances.end() ? std::nullopt : std::optional(pending->second.owner);
+}
+
 void WorkflowHost::enqueueCommand(WorkflowCommand command, const Respond& respond, ControlReply reply)
 {
     m_queuedCommands.push_back(std::move(command));
@@ -94,61 +125,66 @@
 
 void WorkflowHost::handle(const SubmitCall& call, const Respond& respond)
 {
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
-    if (!isWorkflowId(target->remainingPath))
+    const auto caller = authorise(call.address, steadyNow());
+    if (!caller)
+        return respond(caller.error());
+    const auto& [target, organisation] = *caller;
+    if (!isWorkflowId(target.remainingPath))
         return respond(makeReply(ControlStatus::Invalid, "the path does not end with an id of 16 hexadecimal digits"));
-    const WorkflowId id(target->remainingPath);
-    if (m_state.find(id))
-        return respond(makeReply(ControlStatus::Done));
+    const WorkflowId id(target.remainingPath);
+    if (const auto owner = ownerOf(id)) {
+        if (!m_state.table().mayAccess(*target.queue, organisation, *owner))
+            return respond(makeReply(ControlStatus::IdTaken, "the id belongs to another organisation's workflow"));
+        if (m_state.find(id))
+            return respond(makeReply(ControlStatus::Done));
+    }
     if (auto checked = checkWorkflowSpec(call.spec); !checked)
         return respond(makeReply(ControlStatus::Invalid, checked.error().message));
     // A rejection says that the workflow never runs, which is not certain while an earlier submission is being
     // committed.
     if (!m_pendingAcceptances.contains(id)) {
-        if (m_scheduler.wasCancelledEarly(id, steadyNow()))
+        if (m_scheduler.wasCancelledEarly(id, organisation, steadyNow()))
             return respond(makeReply(ControlStatus::NotReady, "the workflow was cancelled before it was submitted"));
-        if (m_scheduler.isQueueBeingRemoved(target->queue->name))
+        if (m_scheduler.isQueueBeingRemoved(target.queue->name))
             return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
         constexpr uint64_t jitterSteps = 100;
         const double jitter = static_cast<double>(hashBytes(id.value()) % jitterSteps) / jitterSteps;
-        if (const auto rejection = m_scheduler.checkAdmission(*target->queue, call.spec, jitter, steadyNow())) {
+        if (const auto rejection = m_scheduler.checkAdmission(*target.queue, call.spec, jitter, steadyNow())) {
             auto reply = makeReply(ControlStatus::Refused, "more work is waiting than can end in time");
             reply.retryAfter = rejection->retryAfter;
-            m_log.onRefused(id, target->queue->name, *rejection);
+            m_log.onRefused(id, target.queue->name, *rejection);
             return respond(std::move(reply));
         }
     }
     // If the acceptance is still being committed, a repeated submission commits it again, which changes nothing.
-    m_pendingAcceptances.try_emplace(id, steadyNow());
+    const WorkflowOwner owner { .queue = target.queue->name, .organisation = organisation };
+    m_pendingAcceptances.try_emplace(id, PendingAcceptance { .submittedAt = steadyNow(), .owner = owner });
     AcceptWorkflow command { .id = id,
-        .queue = target->queue->name,
-        .pool = target->queue->pool,
-        .maxAttempts = target->queue->maxAttempts,
+        .queue = owner.queue,
+        .pool = target.queue->pool,
+        .maxAttempts = target.queue->maxAttempts,
         .spec = call.spec,
-        .acceptedMs = wallNow().time_since_epoch() / 1ms };
+        .acceptedMs = wallNow().time_since_epoch() / 1ms,
+        .organisation = organisation };
     m_scheduler.onAcceptanceProposed(command, steadyNow());
     enqueueCommand(std::move(command), respond, makeReply(ControlStatus::Done));
 }
 
 void WorkflowHost::handle(const StatusCall& call, const Respond& respond)
 {
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
+    const auto caller = authorise(call.address, steadyNow());
+    if (!caller)
+        return respond(caller.error());
+    const auto& [target, organisation] = *caller;
     auto reply = makeReply(ControlStatus::Done);
-    if (withoutTrailingSlashes(target->remainingPath).empty()) {
+    if (withoutTrailingSlashes(target.remainingPath).empty()) {
         reply.isQueue = true;
-        reply.pending = m_scheduler.pendingWorkflows(target->queue->name);
+        reply.pending = m_scheduler.pendingWorkflows(target.queue->name);
         return respond(std::move(reply));
     }
-    const WorkflowRecord* record = m_state.find(WorkflowId(target->remainingPath));
-    if (!record)
+    const WorkflowId id(target.remainingPath);
+    const WorkflowRecord* record = m_state.find(id);
+    if (!record || !m_state.table().mayAccess(*target.queue, organisation, *ownerOf(id)))
         return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
     reply.phase = record->phase;
     reply.hasStarted = record->hasStarted;
@@ -157,16 +193,18 @@
 
 void WorkflowHost::handle(const CancelCall& call, const Respond& respond)
 {
-    if (!m_state.table().version)
-        return respond(makeReply(ControlStatus::NotReady, "there is no queue table yet"));
-    const auto target = m_state.table().resolve(call.address.requestedHost, call.address.path);
-    if (!target)
-        return respond(makeReply(ControlStatus::NoSuchQueue, "no queue has this host and path"));
-    const WorkflowId id(target->remainingPath);
+    const auto caller = authorise(call.address, steadyNow());
+    if (!caller)
+        return respond(caller.error());
+    const auto& [target, organisation] = *caller;
+    const WorkflowId id(target.remainingPath);
+    const auto owner = ownerOf(id);
+    if (owner && !m_state.table().mayAccess(*target.queue, organisation, *owner))
+        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
     const WorkflowRecord* existing = m_state.find(id);
-    if (!existing && !m_pendingAcceptances.contains(id)) {
+    if (!owner) {
         if (isWorkflowId(id.value()))
-            m_scheduler.onUnknownWorkflowCancelled(id, steadyNow());
+            m_scheduler.onUnknownWorkflowCancelled(id, organisation, steadyNow());
         return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
     }
     if (existing && !existing->isActive())
--- a/src/workflow/EarlyCancellations.cpp
+++ b/src/workflow/EarlyCancellations.cpp
@@ -18,17 +18,18 @@
     m_order.clear();
 }
 
-void EarlyCancellations::add(const WorkflowId& id, TimePoint now)
+void EarlyCancellations::add(const WorkflowId& id, const OrganisationName& caller, TimePoint now)
 {
-    m_cancelledAt.insert_or_assign(id, now);
-    m_order.emplace_back(now, id);
+    const Key key(id, caller);
+    m_cancelledAt.insert_or_assign(key, now);
+    m_order.emplace_back(now, key);
     if (m_order.size() > maxEntries)
         removeOldest();
 }
 
-bool EarlyCancellations::contains(const WorkflowId& id, TimePoint now) const
+bool EarlyCancellations::contains(const WorkflowId& id, const OrganisationName& caller, TimePoint now) const
 {
-    const auto found = m_cancelledAt.find(id);
+    const auto found = m_cancelledAt.find(Key(id, caller));
     return found != m_cancelledAt.end() && now - found->second < retention;
 }
 
@@ -40,8 +41,8 @@
 
 void EarlyCancellations::removeOldest()
 {
-    const auto& [at, id] = m_order.front();
-    const auto found = m_cancelledAt.find(id);
+    const auto& [at, key] = m_order.front();
+    const auto found = m_cancelledAt.find(key);
     if (found != m_cancelledAt.end() && found->second == at)
         m_cancelledAt.erase(found);
     m_order.pop_front();
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -66,10 +66,16 @@
     void onAcceptanceProposed(const AcceptWorkflow&, TimePoint now);
 
     /// A caller has cancelled a workflow that is neither known nor about to be.
-    void onUnknownWorkflowCancelled(const WorkflowId& id, TimePoint now) { m_earlyCancellations.add(id, now); }
+    void onUnknownWorkflowCancelled(const WorkflowId& id, const OrganisationName& caller, TimePoint now)
+    {
+        m_earlyCancellations.add(id, caller, now);
+    }
     /// True if a submission must be rejected, because its caller has cancelled it meanwhile. Known to this leadership
     /// only.
-    bool wasCancelledEarly(const WorkflowId& id, TimePoint now) const { return m_earlyCancellations.contains(id, now); }
+    bool wasCancelledEarly(const WorkflowId& id, const OrganisationName& caller, TimePoint now) const
+    {
+        return m_earlyCancellations.contains(id, caller, now);
+    }
 
     /// A table is about to be proposed. Until it is applied, the queues that it removes accept no more workflows: their
     /// acceptances might be committed after the removal, when their queue is no longer known.
--- a/tests/control/LeaderClientTest.cpp
+++ b/tests/control/LeaderClientTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST_SUITE(LeaderClientTest);
     CPPUNIT_TEST(refusalAfterLostReplyIsUncertain);
     CPPUNIT_TEST(refusalAfterFailedSendIsFinal);
+    CPPUNIT_TEST(missingKeyAfterLostReplyIsUncertainForSubmissionsOnly);
     CPPUNIT_TEST(callsGoThroughFollowersOfManyReplicas);
     CPPUNIT_TEST(callsGoToTheLeaderOfFewReplicas);
     CPPUNIT_TEST(unresponsiveFollowerIsAvoided);
@@ -70,10 +71,10 @@
         return result;
     }
 
-    Expected<ControlReply> call(LeaderClient& client)
+    Expected<ControlReply> call(LeaderClient& client, ControlCall request = CancelCall {})
     {
         std::optional<Expected<ControlReply>> result;
-        client.call(CancelCall {}, 500ms, [&](Expected<ControlReply> reply) { result = std::move(reply); });
+        client.call(std::move(request), 500ms, [&](Expected<ControlReply> reply) { result = std::move(reply); });
         const TimePoint end = steadyNow() + 5s;
         while (!result && steadyNow() < end) {
             m_io.run_one_for(5ms);
@@ -106,6 +107,21 @@
         CPPUNIT_ASSERT(reply && reply->status == ControlStatus::Refused);
     }
 
+    // Guards against telling a caller that nothing runs if its key was withdrawn between an attempt that may have been
+    // accepted and the next one; and against 504 for reads, which change nothing.
+    void missingKeyAfterLostReplyIsUncertainForSubmissionsOnly()
+    {
+        const auto leaderClient = client(3);
+        const std::vector<std::pair<ControlCall, ControlStatus>> cases { { SubmitCall {}, ControlStatus::Uncertain },
+            { StatusCall {}, ControlStatus::Unauthorised } };
+        for (const auto& [request, expected] : cases) {
+            m_transport.replies.push_back(ScriptedTransport::noReply(true));
+            m_transport.replies.push_back(ScriptedTransport::replyWithStatus(ControlStatus::Unauthorised));
+            const auto reply = call(*leaderClient, request);
+            CPPUNIT_ASSERT(reply && reply->status == expected);
+        }
+    }
+
     // Guards against all entry hosts of a large deployment calling the leader directly.
     void callsGoThroughFollowersOfManyReplicas()
     {
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -212,23 +212,25 @@
     void cancellationThatOvertakesTheSubmissionHolds()
     {
         begin(samples::table());
-        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, m_now));
-        m_scheduler.onUnknownWorkflowCancelled(samples::firstId, m_now);
-        m_scheduler.onUnknownWorkflowCancelled(samples::secondId, m_now + 5s);
-        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::firstId, m_now + 14s));
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, {}, m_now));
+        m_scheduler.onUnknownWorkflowCancelled(samples::firstId, {}, m_now);
+        m_scheduler.onUnknownWorkflowCancelled(samples::secondId, {}, m_now + 5s);
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::firstId, {}, m_now + 14s));
         // Ids may be used again later.
-        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, m_now + 16s));
-        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, m_now + 16s));
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::firstId, {}, m_now + 16s));
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, {}, m_now + 16s));
         m_now += 16s;
         advance();
-        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, m_now));
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(samples::secondId, {}, m_now));
+        // An organisation can't prevent the submissions of others by cancelling their ids.
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::secondId, OrganisationName("other"), m_now));
         m_scheduler.becomeLeader(2, m_now, epoch);
-        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::secondId, m_now));
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(samples::secondId, {}, m_now));
         // Callers that cancel without end use no memory without end.
         for (int i = 0; i < 50'000; ++i)
-            m_scheduler.onUnknownWorkflowCancelled(WorkflowId(std::to_string(i)), m_now);
-        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(WorkflowId("0"), m_now));
-        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(WorkflowId("49999"), m_now));
+            m_scheduler.onUnknownWorkflowCancelled(WorkflowId(std::to_string(i)), {}, m_now);
+        CPPUNIT_ASSERT(!m_scheduler.wasCancelledEarly(WorkflowId("0"), {}, m_now));
+        CPPUNIT_ASSERT(m_scheduler.wasCancelledEarly(WorkflowId("49999"), {}, m_now));
     }
 
     // The table in which another queue has the place of "q".
