Read organisations from the platform's table and keys from its callers' header

Cause: the fields tenants and public of the table and the header Authorization were ignored.

Change: decodeTable reads them; its errors name the field and the organisation, never a key. The entry host sends only the digest of the key. 401 with WWW-Authenticate: Bearer, 409 for an id of another organisation.

--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <tuple>
 
 #include "CallerCodec.h"
 #include "PlatformSettings.h"
@@ -24,6 +25,11 @@
     = R"({"version":7,"routes":[{"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"unsafe","timeoutMs":3000,)"
       R"("targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":4,"stretch":2.2,)"
       R"("advice":{"decideMs":410.0,"eachMs":5.8,"validMs":2500}}],"services":[{"name":"s","rejectsOverload":false}],"limits":{}})";
+const char* const tableWithOrganisations
+    = R"({"version":8,"routes":[{"name":"r1","host":"h.example","pathPrefix":"/a/","timeoutMs":3000,"service":"s"},)"
+      R"({"name":"r2","host":"h.example","pathPrefix":"/b/","timeoutMs":3000,"service":"s","public":true}],)"
+      R"("services":[{"name":"s"}],"tenants":[{"name":"Bäcker & Söhne","apiKeys":["secret-1","secret-2"],"priority":3,)"
+      R"("weight":2.3,"maxCount":{"cpu":40000,"memMb":81920,"gpu":2},"later":[]},{"name":"b","apiKeys":[]}]})";
 const char* const report
     = R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,)"
       R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":1700000000000})";
@@ -45,6 +51,10 @@
     CPPUNIT_TEST(invalidSubmissionsAreRejected);
     CPPUNIT_TEST(tableIsDecoded);
     CPPUNIT_TEST(invalidTablesAreRejected);
+    CPPUNIT_TEST(organisationsAreDecoded);
+    CPPUNIT_TEST(invalidOrganisationsAreRejectedWithoutTheirKeys);
+    CPPUNIT_TEST(keyIsTakenFromTheAuthorizationHeader);
+    CPPUNIT_TEST(missingKeyAndTakenIdHaveStatusesOfTheirOwn);
     CPPUNIT_TEST(reportIsDecoded);
     CPPUNIT_TEST(invalidReportsAreRejected);
     CPPUNIT_TEST(oddReportsNameNoWorker);
@@ -130,6 +140,77 @@
             CPPUNIT_ASSERT(!decodeTable(text.substr(0, length)));
     }
 
+    // Guards against keys that are kept as they were written, and weights that are cut to whole numbers.
+    void organisationsAreDecoded()
+    {
+        const auto decoded = decodeTable(tableWithOrganisations);
+        CPPUNIT_ASSERT(decoded && checkQueueTable(*decoded) && decoded->organisations.size() == 2);
+        CPPUNIT_ASSERT(!decoded->queues[0].isPublic && decoded->queues[1].isPublic);
+        const Organisation& first = decoded->organisations[0];
+        CPPUNIT_ASSERT_EQUAL(std::string("Bäcker & Söhne"), first.name.value());
+        CPPUNIT_ASSERT(first.keys.size() == 2 && first.keys[1].matches(KeyDigest::of("secret-2")));
+        CPPUNIT_ASSERT_EQUAL(int64_t { 81'920 }, first.limit.mebibytes.count());
+        const auto recorded = decodeCommands(encodeCommands({ ReplaceTable { *decoded } }));
+        CPPUNIT_ASSERT(recorded && std::get<ReplaceTable>(recorded->front()).table == *decoded);
+        CPPUNIT_ASSERT(decoded->organisations[1].keys.empty() && decoded->organisations[1].limit == Resources());
+    }
+
+    // Guards against an invalid organisation in force, and against an error that shows a key or hides the culprit.
+    void invalidOrganisationsAreRejectedWithoutTheirKeys()
+    {
+        const json valid = json::parse(tableWithOrganisations);
+        const std::vector<std::tuple<const char*, json, std::string>> cases { { "name", "", "name" },
+            { "name", 7, "name" }, { "name", std::string(129, 'n'), "name" }, { "apiKeys", "secret", "apiKeys" },
+            { "apiKeys", json::array({ "" }), "apiKeys" }, { "apiKeys", json::array({ "secret", 5 }), "apiKeys" },
+            { "apiKeys", json::array({ "secret" + std::string(251, 'k') }), "apiKeys" },
+            { "apiKeys", json(std::vector<std::string>(65, "secret")), "apiKeys" }, { "weight", -0.5, "weight" },
+            { "weight", "secret", "weight" }, { "weight", 1e300, "weight" }, { "maxCount", 5, "maxCount" },
+            { "maxCount", json::parse(R"({"cpu":-1})"), "cpu" }, { "maxCount", json::parse(R"({"gpu":0.5})"), "gpu" } };
+        for (const auto& [field, value, named] : cases) {
+            auto body = valid;
+            body["tenants"][0][field] = value;
+            const auto decoded = decodeTable(body.dump());
+            const Expected<void> checked
+                = decoded ? checkQueueTable(*decoded) : Expected<void>(tl::unexpected(decoded.error()));
+            CPPUNIT_ASSERT_MESSAGE(field, !checked);
+            const auto& message = checked.error().message;
+            CPPUNIT_ASSERT_MESSAGE(message, message.find("field " + named) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(message, message.find("organisation") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(message, message.find("secret") == std::string::npos);
+        }
+        for (const json& odd : { json("secret"), json::array({ "secret" }), json(std::vector<json>(1025)) }) {
+            auto body = valid;
+            body["tenants"] = odd;
+            CPPUNIT_ASSERT(decodeTable(body.dump()).error().message.find("tenants") != std::string::npos);
+        }
+    }
+
+    // Guards against refusing valid callers for how their client writes the header, and against keys that leave the
+    // entry host.
+    void keyIsTakenFromTheAuthorizationHeader()
+    {
+        for (const char* header : { "Bearer k 1", "bearer k 1", "BEARER   k 1 \t" })
+            CPPUNIT_ASSERT_MESSAGE(header, decodeAuthorization(header).matches(KeyDigest::of("k 1")));
+        for (const std::string& header : { std::string(), std::string("Bearer   "), std::string("Basic k 1"),
+                 std::string("Bearerk 1"), "Bearer " + std::string(257, 'k') })
+            CPPUNIT_ASSERT_MESSAGE(header, decodeAuthorization(header).isEmpty());
+        const CancelCall call { { .requestedHost = "h", .path = "/a/b", .key = decodeAuthorization("Bearer k 1") } };
+        const auto bytes = encodeControlCall(call);
+        CPPUNIT_ASSERT(bytes.find("k 1") == std::string::npos);
+        CPPUNIT_ASSERT(std::get<CancelCall>(*decodeControlCall(bytes)).address.key.matches(KeyDigest::of("k 1")));
+    }
+
+    // Guards against callers that take a missing key for a lost workflow or a fault of the host.
+    void missingKeyAndTakenIdHaveStatusesOfTheirOwn()
+    {
+        ControlReply reply;
+        reply.status = ControlStatus::Unauthorised;
+        CPPUNIT_ASSERT_EQUAL(401, encodeReply(reply).status);
+        CPPUNIT_ASSERT(encodeStatusReply(reply).headers == HttpHeaders({ { "WWW-Authenticate", "Bearer" } }));
+        reply.status = ControlStatus::IdTaken;
+        CPPUNIT_ASSERT_EQUAL(409, encodeReply(*decodeControlReply(encodeControlReply(reply))).status);
+    }
+
     void reportIsDecoded()
     {
         // Guards against confusing incarnations of a worker.
@@ -349,7 +430,7 @@
     void randomAndMutatedInputIsHandled()
     {
         std::mt19937 random(7);
-        const std::vector<std::string> samples { submission, table, report, settings,
+        const std::vector<std::string> samples { submission, table, tableWithOrganisations, report, settings,
             R"({"clockMs":5,"running":[["a.0.1.17",2,"cp",41]],"ended":[[58,"a.0.1.9",1,"done",""]]})",
             R"({"granted":[["i-1","t"]],"validMs":3000})",
             encodeControlCall(SubmitCall { { "h", "/a/b" }, *decodeSubmission(submission) }) };
