Log the last calls of a burst without a valid key too

Cause: the number of calls after the last line of a burst was written with the next such call only, which may never come.

Change: the periodic tick writes it, within the same limit of one line a second.

--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -54,6 +54,7 @@
 void DecisionLog::tick(TimePoint now)
 {
     m_budget.refill(now);
+    writeUnauthorisedCalls(now);
     if (!m_budget.hasLeftOut() || now < m_nextSummary)
         return;
     m_nextSummary = now + summaryPeriod;
@@ -147,11 +148,18 @@
 {
     m_metrics.add(m_unauthorised);
     ++m_unauthorisedSinceLine;
-    if (now < m_nextUnauthorisedLine)
+    m_lastUnauthorisedQueue = queue;
+    writeUnauthorisedCalls(now);
+}
+
+void DecisionLog::writeUnauthorisedCalls(TimePoint now)
+{
+    if (!m_unauthorisedSinceLine || now < m_nextUnauthorisedLine)
         return;
     m_nextUnauthorisedLine = now + unauthorisedLinePeriod;
     writeEssential(Event::CallUnauthorised, "refused calls without a valid key",
-        { { "queue", queue.value() }, { "calls", std::to_string(std::exchange(m_unauthorisedSinceLine, 0)) } });
+        { { "lastQueue", m_lastUnauthorisedQueue.value() },
+            { "calls", std::to_string(std::exchange(m_unauthorisedSinceLine, 0)) } });
 }
 
 void DecisionLog::onPermissionResponse(
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -40,7 +40,8 @@
     /// Another host leads from now on.
     void onLeadershipEnded() { m_budget.clear(); }
 
-    /// Refills the budget and logs the number of lines left out, at most once per second. Call it periodically.
+    /// Refills the budget, and logs the calls without a key and the lines left out, at most once per second each. Call
+    /// it periodically.
     void tick(TimePoint now);
 
     const Metrics& metrics() const { return m_metrics; }
@@ -48,6 +49,7 @@
 private:
     void writeOrdinary(const workflow::WorkflowId&, Event, std::string_view message, EventLog::Fields);
     void writeEssential(Event, std::string_view message, EventLog::Fields);
+    void writeUnauthorisedCalls(TimePoint now);
 
     Metrics m_metrics;
     CounterId m_accepted;
@@ -71,6 +73,7 @@
     TimePoint m_nextSummary;
     TimePoint m_nextUnauthorisedLine;
     uint64_t m_unauthorisedSinceLine { 0 };
+    workflow::QueueName m_lastUnauthorisedQueue;
 };
 
 } // namespace hickoryknot
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -36,10 +36,12 @@
         for (int i = 0; i < 5000; ++i)
             log.onUnauthorisedCall(workflow::QueueName("q"), TimePoint(10s + i * 300us));
         log.onCancelled(workflow::WorkflowId("00000000000000a1"));
+        log.tick(TimePoint(13s));
         spdlog::set_default_logger(previous);
         const auto text = lines.str();
-        CPPUNIT_ASSERT_MESSAGE(text, std::count(text.begin(), text.end(), '\n') == 3);
-        CPPUNIT_ASSERT_MESSAGE(text, text.find(R"("calls":"3334")") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(text, std::count(text.begin(), text.end(), '\n') == 4);
+        for (const char* calls : { R"("calls":"1")", R"("calls":"3334")", R"("calls":"1665")" })
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(calls) != std::string::npos);
     }
 };
 
