--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -29,6 +29,9 @@
     void onRefused(
         const workflow::WorkflowId&, const workflow::QueueName&, const workflow::AdmissionController::Rejection&);
     void onCancelled(const workflow::WorkflowId&);
+    /// A call for this queue came without a valid key. Writes at most one line per second, so that such calls take
+    /// little of the budget.
+    void onUnauthorisedCall(const workflow::QueueName&, TimePoint now);
     void onPermissionResponse(
         const workflow::StepRef&, size_t requestedWorkers, size_t grantedWorkers, Duration callTime);
     /// A scheduling cycle started `delay` after it was due and took `duration`.
@@ -37,7 +40,8 @@
     /// Another host leads from now on.
     void onLeadershipEnded() { m_budget.clear(); }
 
-    /// Refills the budget and logs the number of lines left out, at most once per second. Call it periodically.
+    /// Refills the budget, and logs the calls without a key and the lines left out, at most once per second each. Call
+    /// it periodically.
     void tick(TimePoint now);
 
     const Metrics& metrics() const { return m_metrics; }
@@ -45,6 +49,7 @@
 private:
     void writeOrdinary(const workflow::WorkflowId&, Event, std::string_view message, EventLog::Fields);
     void writeEssential(Event, std::string_view message, EventLog::Fields);
+    void writeUnauthorisedCalls(TimePoint now);
 
     Metrics m_metrics;
     CounterId m_accepted;
@@ -57,6 +62,7 @@
     CounterId m_moved;
     CounterId m_ended;
     CounterId m_permissionCalls;
+    CounterId m_unauthorised;
     LatencyId m_commitTime;
     LatencyId m_waitTime;
     LatencyId m_workflowTime;
@@ -65,6 +71,9 @@
     LatencyId m_cycleTime;
     LogBudget m_budget;
     TimePoint m_nextSummary;
+    TimePoint m_nextUnauthorisedLine;
+    uint64_t m_unauthorisedSinceLine { 0 };
+    workflow::QueueName m_lastUnauthorisedQueue;
 };
 
 } // namespace hickoryknot
