--- a/src/workflow/Planner.cpp
+++ b/src/workflow/Planner.cpp
@@ -77,8 +77,6 @@
     m_workers.clear();
     m_pools.clear();
     m_reservingGangs = 0;
-    m_slowestSpeed = 1;
-    m_haveSpeedsDiffering = false;
     ++m_pass;
     for (auto& [incarnation, tracked] : m_workerTracker.workers()) {
         if (!m_workerTracker.isReadyForWork(tracked, now))
@@ -89,9 +87,8 @@
             .free = tracked.free(),
             .isOnProbation = WorkerTracker::isOnProbation(tracked, now),
             .speedClass = speedClassOf(tracked.speed) });
-        m_slowestSpeed = std::min(m_slowestSpeed, tracked.speed);
-        m_haveSpeedsDiffering = m_haveSpeedsDiffering || m_workers.back().speedClass != m_workers.front().speedClass;
     }
+    compareSpeeds();
     m_workerByNumber.clear();
     for (auto& worker : m_workers) {
         if (worker.number >= m_workerByNumber.size())
@@ -134,7 +131,7 @@
 {
     m_stepSize = resourceDemand(*step.spec);
     m_stepPool = poolIndex(step.queue.pool);
-    m_stepSpeed = speedPreferenceOf(step, m_slowestSpeed, m_now);
+    m_stepSpeed = speedPreferenceOf(step, m_speeds, m_now);
 }
 
 void Planner::planStep(const ReadyStep& step, Decisions& decisions, TimePoint now)
@@ -426,7 +423,12 @@
     double expected = 0;
     std::vector<WorkerCapacity*> named;
     for (const auto& option : options) {
-        if (expected >= demand * taskSurplusFactor)
+        // Fast workers in place of some full ones, of which the call names more: with few fast ones, one urgent step in
+        // eight is granted none.
+        const bool isNamedInSurplus = m_haveSpeedsDiffering && m_stepSpeed == SpeedPreference::Fast
+            && named.size() < minNamedWorkersPerStep / 2
+            && option.worker->speedClass >= options.front().worker->speedClass;
+        if (expected >= demand * taskSurplusFactor && !isNamedInSurplus)
             break;
         expected += option.capacity * (option.isAllowed ? 1 : grantedFraction);
         named.push_back(option.worker);
--- a/src/workflow/Planner.h
+++ b/src/workflow/Planner.h
@@ -101,6 +101,8 @@
         double cost { 0 }; // Preempted millicores per task that fits.
     };
 
+    /// Sets m_speeds and m_haveSpeedsDiffering.
+    void compareSpeeds();
     /// Order in which the selected step uses workers with room: by preferred speed, then the fullest ones.
     bool isPreferred(const WorkerCapacity&, const WorkerCapacity&) const;
     /// When a task of the selected step that starts at `at` is expected to end, if the step prefers fast workers;
@@ -204,7 +206,7 @@
     TimePoint m_nextFullPassAt;
     size_t m_nextFurtherStep { 0 }; // Where planFurtherSteps() goes on.
     size_t m_reservingGangs { 0 };
-    double m_slowestSpeed { 1 }; // Of all workers of this pass.
+    SpeedSituation m_speeds; // Of the workers of this pass.
     bool m_haveSpeedsDiffering { false }; // Workers of this pass are in several speed classes.
     std::vector<const PoolName*> m_pools;
     std::vector<LargestFree> m_largestFree;
--- a/src/workflow/PlannerSpeeds.cpp
+++ b/src/workflow/PlannerSpeeds.cpp
@@ -14,6 +14,28 @@
 
 } // namespace
 
+// Fast workers are those above the usual speed; without any, those of the usual one.
+void Planner::compareSpeeds()
+{
+    m_speeds = {};
+    m_haveSpeedsDiffering = false;
+    int fastest = 0;
+    for (const auto& worker : m_workers) {
+        m_speeds.slowestSpeed = std::min(m_speeds.slowestSpeed, worker.tracked->speed);
+        m_haveSpeedsDiffering = m_haveSpeedsDiffering || worker.speedClass != m_workers.front().speedClass;
+        fastest = std::max(fastest, worker.speedClass);
+    }
+    double capacity = 0;
+    double free = 0;
+    for (const auto& worker : m_workers) {
+        if (worker.speedClass < std::min(fastest, 1))
+            continue;
+        capacity += static_cast<double>(worker.tracked->profile.capacity.millicores.count());
+        free += static_cast<double>(std::max<int64_t>(0, worker.free.millicores.count()));
+    }
+    m_speeds.freeOnFastWorkers = capacity > 0 ? free / capacity : 0;
+}
+
 bool Planner::isPreferred(const WorkerCapacity& a, const WorkerCapacity& b) const
 {
     const int rankA = speedRank(m_stepSpeed, a.speedClass);
--- a/src/workflow/SpeedPreference.cpp
+++ b/src/workflow/SpeedPreference.cpp
@@ -12,6 +12,9 @@
 /// Work whose latest start is within this time prefers fast workers even if a slow one seems early enough: a lost
 /// request and its retry, a call to the permission service and a run that takes longer than expected use that much.
 constexpr Duration urgentSpeedWindow = 2s;
+/// Work with time left uses fast workers as long as more than this fraction of their processors is free. Without the
+/// reserve, urgent work finds them full; if all of it stayed away, the slow ones would be full beside idle fast ones.
+constexpr double fastReserve = 0.3;
 /// Width of a class in log(speed). Learned speeds of equal workers differ by less than a third of it after ten runs.
 constexpr double speedClassWidth = 0.3;
 /// Speeds beyond have the class of this one.
@@ -19,12 +22,14 @@
 
 } // namespace
 
-SpeedPreference speedPreferenceOf(const ReadyStep& step, double slowestSpeed, TimePoint now)
+SpeedPreference speedPreferenceOf(const ReadyStep& step, const SpeedSituation& situation, TimePoint now)
 {
     const bool hasValue = now <= step.expiresAt - step.criticalPath;
-    const Duration slowCost = timeAtSpeed(step.runTime(), slowestSpeed) - step.runTime();
+    const Duration slowCost = timeAtSpeed(step.runTime(), situation.slowestSpeed) - step.runTime();
+    const bool isReserveFree = situation.freeOnFastWorkers > fastReserve;
     const bool isUrgent = step.latestStart() - now < std::max(urgentSpeedWindow, slowCost);
-    return hasValue && isUrgent && !step.spec->isLongRunning ? SpeedPreference::Fast : SpeedPreference::Slow;
+    return hasValue && (isUrgent || isReserveFree) && !step.spec->isLongRunning ? SpeedPreference::Fast
+                                                                                : SpeedPreference::Slow;
 }
 
 int speedClassOf(double speed)
--- a/tests/workflow/RunTimeDecisionsTest.cpp
+++ b/tests/workflow/RunTimeDecisionsTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(RunTimeDecisionsTest);
     CPPUNIT_TEST(urgentTaskTakesAFastWorker);
     CPPUNIT_TEST(taskWithTimeLeftLeavesTheFastWorkerFree);
+    CPPUNIT_TEST(taskWithTimeLeftUsesIdleFastWorkers);
     CPPUNIT_TEST(taskThatASlowWorkerWouldMakeLateIsUrgent);
     CPPUNIT_TEST(workWithoutValueTakesSlowWorkers);
     CPPUNIT_TEST(nearlyEqualSpeedsDoNotDecide);
@@ -49,6 +50,15 @@
         worker.speed = speed;
     }
 
+    // Adds a fast worker without room, so that less of the fast workers is free than they keep for urgent work.
+    void keepFastWorkersBusy()
+    {
+        constexpr int64_t capacity = 64000;
+        addWorker("z", 1.7, capacity);
+        WorkerTracker::allocate(
+            *m_workerTracker.find(samples::incarnation("z")), { samples::secondId, 0, 0 }, samples::step(1, capacity));
+    }
+
     // A step of tasks that take 1 s at the usual speed, with `slack` until its latest start.
     ReadyStep& addStep(uint32_t count, Duration slack, int64_t millicores = 1000)
     {
@@ -111,6 +121,7 @@
         addWorker("a", 0.7);
         addWorker("b", 1.7);
         addWorker("c", 0.7);
+        keepFastWorkersBusy();
         addStep(1, 1s);
         assertChosen({ "b" });
     }
@@ -120,6 +131,16 @@
     {
         addWorker("a", 1.7);
         addWorker("b", 0.7);
+        keepFastWorkersBusy();
+        addStep(1, 10s);
+        assertChosen({ "b" });
+    }
+
+    // Guards against fast workers that idle beside full slow ones.
+    void taskWithTimeLeftUsesIdleFastWorkers()
+    {
+        addWorker("a", 0.7);
+        addWorker("b", 1.7);
         addStep(1, 10s);
         assertChosen({ "b" });
     }
@@ -129,6 +150,7 @@
     {
         addWorker("a", 0.2);
         addWorker("b", 1.7);
+        keepFastWorkersBusy();
         addStep(1, 3900ms);
         assertChosen({ "b" });
     }
@@ -186,6 +208,7 @@
         assertChosen({ "a", "c" });
         step.deadline += 9s;
         addWorker("d", 0.7);
+        keepFastWorkersBusy();
         assertChosen({ "b", "d" });
     }
 
