--- a/src/workflow/PlannerOrganisations.cpp
+++ b/src/workflow/PlannerOrganisations.cpp
@@ -117,10 +117,13 @@
 {
     const uint32_t startable = startableTasks(step);
     const size_t before = decisions.placements.size();
+    const size_t preparedBefore = m_reservingGangs + decisions.preemptions.size();
     if (startable)
         planStep(startable < step.tasks.size() ? m_partialSteps.emplace_back(withFirstTasks(step, startable)) : step,
             decisions, now);
-    if (decisions.placements.size() == before && claimsLimit(step, now))
+    // A gang below the limit that waits for something else, which may never come, claims nothing.
+    const bool isPrepared = m_reservingGangs + decisions.preemptions.size() > preparedBefore;
+    if (decisions.placements.size() == before && (!startable || isPrepared) && claimsLimit(step, now))
         m_headroom.claim(step.organisationPosition, step.spec->perTask * static_cast<int64_t>(step.tasks.size()));
     return startable > 0;
 }
