--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -180,11 +180,13 @@
     }
     m_workers.beginLeadership(term);
     m_scheduler.becomeLeader(term, now, wallNow());
+    const auto& summaryError = m_scheduler.runTimeSummaryError();
     EventLog::write(EventLevel::Info, Event::LeadershipTaken,
         "this host became leader and takes over the runs in progress",
         { { "term", std::to_string(term) }, { "runs", std::to_string(m_scheduler.runController().size()) },
             { "workers", std::to_string(m_state.workers().size()) },
-            { "tableVersion", std::to_string(m_state.table().version) } });
+            { "tableVersion", std::to_string(m_state.table().version) },
+            { "learnedRunTimes", summaryError ? summaryError->message : "restored" } });
     scheduleCycle(Duration(0));
 }
 
--- a/src/workflow/PlannerSpeeds.cpp
+++ b/src/workflow/PlannerSpeeds.cpp
@@ -88,6 +88,7 @@
     const ReadyStep& step, const std::vector<WorkerCapacity*>& workers, TimePoint now) const
 {
     std::vector<int> classes;
+    classes.reserve(workers.size());
     for (const auto* worker : workers)
         classes.push_back(worker->speedClass);
     std::sort(classes.begin(), classes.end());
--- a/src/workflow/RunTimeModel.cpp
+++ b/src/workflow/RunTimeModel.cpp
@@ -291,6 +291,7 @@
     const auto latest = [](const auto& map, size_t limit) {
         using Entry = typename std::remove_cvref_t<decltype(map)>::value_type;
         std::vector<const Entry*> entries;
+        entries.reserve(map.size());
         for (const auto& entry : map)
             entries.push_back(&entry);
         if (entries.size() > limit) {
--- a/src/workflow/WorkflowSchedulerLearning.cpp
+++ b/src/workflow/WorkflowSchedulerLearning.cpp
@@ -16,9 +16,10 @@
 /// Samples from which a new summary is worth its log entry.
 constexpr uint64_t minSamplesPerSummary = 16;
 /// A run whose start was acknowledged later than this fraction of its run time, and than this time, after the first
-/// attempt may have started at any moment between.
-constexpr int64_t startUncertaintyDivisor = 10;
-constexpr Duration maxStartDelay = 50ms;
+/// attempt may have started at any moment between. Several round trips through another host are usual under load; the
+/// end is reported about as late, so the two delays offset each other.
+constexpr int64_t startUncertaintyDivisor = 4;
+constexpr Duration maxStartDelay = 100ms;
 
 WorkKind kindOf(const QueueName& queue, const StepSpec& spec)
 {
