--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -18,6 +18,8 @@
 
     void signal(int number) const;
 
+    pid_t pid() const { return m_pid; }
+
     /// The exit code if the program has ended by itself; -1 if a signal ended it.
     std::optional<int> exitCode();
 
