Bound the message links between hosts

Cause: a frame's announced length of 4 MiB was reserved at once, for any number of connections and without a time limit; 64 of them took 264 MB.

Change: the buffer grows with the bytes that arrive and is charged to the memory budget while a message is incomplete. Incomplete messages have a time limit, and the connection on which nothing has arrived for longest gives way at the connection limit.

--- a/src/control/HostMessageLinks.cpp
+++ b/src/control/HostMessageLinks.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-HostMessageLinks::HostMessageLinks(boost::asio::io_context& io)
+HostMessageLinks::HostMessageLinks(boost::asio::io_context& io, MessageTransportSettings settings)
     : m_links(
-        io, {}, [this](uint8_t kind, std::string_view bytes) { dispatch(kind, bytes); },
+        io, std::move(settings), [this](uint8_t kind, std::string_view bytes) { dispatch(kind, bytes); },
         [](const Error& error) { EventLog::write(EventLevel::Warning, Event::RequestRejected, error.message); })
 {
 }
--- a/src/control/HostMessageLinks.h
+++ b/src/control/HostMessageLinks.h
@@ -23,7 +23,7 @@
 public:
     using Handler = std::function<void(std::string_view bytes)>;
 
-    explicit HostMessageLinks(boost::asio::io_context&);
+    explicit HostMessageLinks(boost::asio::io_context&, MessageTransportSettings = {});
 
     /// Accepts messages, on the port next to that of `calls`, this host's endpoint for calls. Error Unavailable: the
     /// address cannot be bound.
@@ -35,6 +35,8 @@
     /// Returns false if the message was dropped; see MessageTransport::send().
     bool send(const HostId& to, HostMessageKind, std::string_view bytes);
 
+    const ClientLimitCounters& counters() const { return m_links.counters(); }
+
 private:
     void dispatch(uint8_t kind, std::string_view bytes);
 
--- a/src/net/InboundConnection.cpp
+++ b/src/net/InboundConnection.cpp
@@ -13,11 +13,26 @@
 
 namespace {
 
-/// Initial size of the read buffer. It grows to hold a larger message and shrinks after that message is handled.
+/// Initial size of the read buffer. It grows with the bytes of a larger message as they arrive, whatever length is
+/// announced, and shrinks after that message is handled.
 constexpr size_t initialBufferBytes = size_t { 16 } * 1024;
+/// A buffer up to this size is kept, so that messages of ordinary size need no allocation.
+constexpr size_t maxKeptBufferBytes = size_t { 64 } * 1024;
 /// Minimum time between two unsolicited acknowledgements; shorter than the sender's probe delay.
 constexpr Duration ackInterval = 75ms;
 
+TimePoint toTimePoint(Clock::time_point time)
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(time.time_since_epoch()));
+}
+
+std::string peerOf(const asio::ip::tcp::socket& socket)
+{
+    error_code error;
+    const auto endpoint = socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+}
+
 } // namespace
 
 InboundConnection::InboundConnection(
@@ -26,6 +41,11 @@
     , m_settings(settings)
     , m_handler(std::move(handler))
     , m_closeHandler(std::move(closeHandler))
+    , m_charge(settings.memory, MemoryPool::Hosts, peerOf(m_socket),
+          [this] {
+              close();
+              m_closeHandler(shared_from_this(), Error { ErrorCode::Overloaded, "no memory for a message" });
+          })
     , m_buffer(initialBufferBytes, '\0')
     , m_lastReceivedAt(Clock::now())
 {
@@ -37,6 +57,13 @@
         return;
     error_code ignored;
     m_socket.close(ignored);
+    m_charge.release();
+}
+
+bool InboundConnection::isOverdue(Clock::time_point now) const
+{
+    return now - m_lastReceivedAt > m_settings.idleTimeout
+        || (m_incompleteSince && now - *m_incompleteSince > m_settings.messageTimeout);
 }
 
 void InboundConnection::read()
@@ -81,15 +108,34 @@
         if (m_isClosed)
             return {};
         consumed += message_frame::headerBytes + size;
+        m_incompleteSince.reset();
     }
     m_buffer.erase(0, consumed);
     m_bufferedBytes -= consumed;
-    m_buffer.resize(std::max(neededBytes, m_bufferedBytes + 1));
+    if (auto prepared = prepareBuffer(neededBytes, now); !prepared)
+        return prepared;
     if (isProbed || now - m_lastAckAt >= ackInterval)
         sendAck(now);
     return {};
 }
 
+Expected<void> InboundConnection::prepareBuffer(size_t neededBytes, Clock::time_point now)
+{
+    if (!m_bufferedBytes)
+        m_incompleteSince.reset();
+    else if (!m_incompleteSince)
+        m_incompleteSince = now;
+    const size_t grownBytes = std::max(initialBufferBytes, 2 * m_bufferedBytes);
+    m_buffer.resize(std::max(std::min(neededBytes, grownBytes), m_bufferedBytes + 1));
+    if (m_buffer.capacity() > maxKeptBufferBytes && m_buffer.size() <= initialBufferBytes)
+        m_buffer.shrink_to_fit();
+    if (m_incompleteSince)
+        m_charge.setDroppableSince(toTimePoint(*m_incompleteSince));
+    if (!m_charge.resize(m_incompleteSince ? m_buffer.capacity() : 0, toTimePoint(now)))
+        return makeError(ErrorCode::Overloaded, "there is no memory for an incomplete message between hosts");
+    return {};
+}
+
 void InboundConnection::sendAck(Clock::time_point now)
 {
     if (std::exchange(m_isSendingAck, true))
--- a/src/net/MessageTransport.cpp
+++ b/src/net/MessageTransport.cpp
@@ -1,9 +1,10 @@
 #include "net/MessageTransport.h"
 
-#include <vector>
+#include <algorithm>
 
 #include "core/Assert.h"
 #include "net/InboundConnection.h"
+#include "net/MemoryBudget.h"
 #include "net/MessageFrame.h"
 #include "net/OutboundConnection.h"
 
@@ -18,18 +19,22 @@
 
 /// Delay after a failed accept; prevents a busy loop when the process is out of file descriptors.
 constexpr Duration acceptRetryDelay = 100ms;
+constexpr Duration overdueCheckPeriod = 1s;
 
 } // namespace
 
 MessageTransport::MessageTransport(
     asio::io_context& io, MessageTransportSettings settings, Handler handler, PeerRejected onPeerRejected)
     : m_io(io)
-    , m_settings(settings)
+    , m_settings(std::move(settings))
     , m_handler(std::move(handler))
     , m_onPeerRejected(std::move(onPeerRejected))
     , m_acceptor(io)
     , m_acceptTimer(io)
+    , m_overdueTimer(io)
 {
+    if (!m_settings.memory)
+        m_settings.memory = std::make_shared<MemoryBudget>();
 }
 
 MessageTransport::~MessageTransport()
@@ -61,6 +66,7 @@
                 + error.message());
     m_port = m_acceptor.local_endpoint(error).port();
     accept();
+    closeOverdue();
     return {};
 }
 
@@ -79,14 +85,13 @@
         }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        // Hosts behind a network partition leave half-open connections behind.
-        const Clock::time_point limit = Clock::now() - m_settings.idleTimeout;
-        std::erase_if(m_inbound, [&](const auto& connection) {
-            const bool isIdle = connection->lastReceivedAt() < limit;
-            if (isIdle)
-                connection->close();
-            return isIdle;
-        });
+        if (m_inbound.size() >= m_settings.maxInboundConnections) {
+            const auto oldest = std::min_element(m_inbound.begin(), m_inbound.end(),
+                [](const auto& a, const auto& b) { return a->lastReceivedAt() < b->lastReceivedAt(); });
+            (*oldest)->close();
+            m_inbound.erase(oldest);
+            ++m_counters.evictedConnections;
+        }
         auto connection = std::make_shared<InboundConnection>(
             std::move(socket), m_settings,
             [this, alive](uint8_t kind, std::string_view bytes) {
@@ -96,7 +101,9 @@
             [this, alive](const std::shared_ptr<InboundConnection>& closed, const std::optional<Error>& error) {
                 if (!*alive)
                     return;
-                if (error)
+                if (error && error->code == ErrorCode::Overloaded)
+                    ++m_counters.droppedConnections;
+                else if (error)
                     m_onPeerRejected(*error);
                 m_inbound.erase(closed);
             });
@@ -106,6 +113,22 @@
     });
 }
 
+void MessageTransport::closeOverdue()
+{
+    // Hosts behind a network partition leave half-open connections behind.
+    std::erase_if(m_inbound, [now = Clock::now()](const auto& connection) {
+        const bool isOverdue = connection->isOverdue(now);
+        if (isOverdue)
+            connection->close();
+        return isOverdue;
+    });
+    m_overdueTimer.expires_after(overdueCheckPeriod);
+    m_overdueTimer.async_wait([this, alive = m_isAlive](error_code cancelled) {
+        if (!cancelled && *alive)
+            closeOverdue();
+    });
+}
+
 bool MessageTransport::send(const Endpoint& peer, uint8_t kind, std::string_view bytes)
 {
     HICKORYKNOT_ASSERT(kind != message_frame::probeKind, "kind 0 is reserved for probes");
--- a/src/net/MessageTransport.h
+++ b/src/net/MessageTransport.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "core/Error.h"
+#include "net/ClientLimitCounters.h"
 #include "net/HttpMessage.h"
 #include "net/MessageTransportSettings.h"
 
@@ -46,8 +47,12 @@
     /// The bound port; the one chosen by the system if listen() was given port 0.
     uint16_t port() const { return m_port; }
 
+    const ClientLimitCounters& counters() const { return m_counters; }
+
 private:
     void accept();
+    /// Closes overdue connections, now and from time to time.
+    void closeOverdue();
 
     boost::asio::io_context& m_io;
     MessageTransportSettings m_settings;
@@ -55,6 +60,8 @@
     PeerRejected m_onPeerRejected;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
+    boost::asio::steady_timer m_overdueTimer;
+    ClientLimitCounters m_counters;
     uint16_t m_port { 0 };
     std::map<std::pair<std::string, uint16_t>, std::shared_ptr<OutboundConnection>> m_outbound;
     std::set<std::shared_ptr<InboundConnection>> m_inbound;
--- a/src/net/MessageTransportSettings.h
+++ b/src/net/MessageTransportSettings.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 
 #include "core/Time.h"
 
 namespace hickoryknot {
 
+class MemoryBudget;
+
 struct MessageTransportSettings {
     /// Maximum bytes queued for one peer; further messages are dropped. A healthy peer needs far less than this.
     size_t maxQueuedBytes { size_t { 8 } * 1024 * 1024 };
@@ -22,6 +25,12 @@
     Duration ackTimeout { 500ms };
     /// The receiver closes a connection on which nothing has arrived for this long.
     Duration idleTimeout { 30s };
+    /// The receiver closes a connection whose message has been incomplete for this long.
+    Duration messageTimeout { 10s };
+    /// At this limit, the connection on which nothing has arrived for longest is closed for a new one.
+    size_t maxInboundConnections { 256 };
+    /// The memory for incomplete messages. Null: one of its own, with defaults.
+    std::shared_ptr<MemoryBudget> memory {};
 };
 
 } // namespace hickoryknot
--- a/tests/net/MessageTransportTest.cpp
+++ b/tests/net/MessageTransportTest.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "net/MemoryBudget.h"
 #include "net/MessageFrame.h"
 
 namespace hickoryknot {
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(delaysReconnectAfterFailure);
     CPPUNIT_TEST(reconnectsWithoutAcks);
     CPPUNIT_TEST(keepsConnectionWithLittleTraffic);
+    CPPUNIT_TEST(closesIncompleteMessages);
     CPPUNIT_TEST_SUITE_END();
 
     struct Received {
@@ -100,6 +102,27 @@
         CPPUNIT_ASSERT(m_received.empty());
     }
 
+    // Guards against incomplete messages that hold memory for ever, or as much as they announce.
+    void closesIncompleteMessages()
+    {
+        const auto memory = std::make_shared<MemoryBudget>();
+        MessageTransport receiver(m_io, { .messageTimeout = 100ms, .maxInboundConnections = 1, .memory = memory },
+            collect(), recordRejection());
+        CPPUNIT_ASSERT(receiver.listen({ "127.0.0.1", 0 }));
+        const tcp::endpoint address(asio::ip::make_address("127.0.0.1"), receiver.port());
+        tcp::socket replaced(m_io);
+        replaced.connect(address);
+        tcp::socket incomplete(m_io);
+        incomplete.connect(address);
+        std::string frame;
+        message_frame::append(frame, 1, std::string(1'000'000, 'x'));
+        asio::write(incomplete, asio::buffer(frame, 100'000));
+        runUntil([&] { return memory->heldBytes(MemoryPool::Hosts) >= 100'000; });
+        CPPUNIT_ASSERT(memory->heldBytes(MemoryPool::Hosts) < 300'000);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, receiver.counters().evictedConnections);
+        runUntil([&] { return memory->heldBytes(MemoryPool::Hosts) == 0; });
+    }
+
     // Guards against an unbounded queue for a host that does not read its messages.
     void dropsMessagesBeyondTheQueueLimit()
     {
