Charge requests and responses of HTTP servers to the memory budget

Cause: Beast's string body reserves the announced length, buffers keep their largest size, unread responses had no bound, and the allocator keeps freed memory. At the connection limit new connections were rejected, so that idle ones locked out ordinary clients.

Change: bodies are kept in pieces and charged as they arrive, until the response is written. Without room, the request gets 503 with Retry-After before it is passed on, or a longer unfinished one is dropped. Sizes of large responses are reserved before the handler runs. Input that arrives while a request is handled for long is read up to 32 KiB. The longest idle connection gives way to a new one. Lingering closes are bounded in number, unfinished requests must make progress, and freed memory is returned after heavy use.

Tests: rejectsConnectionsOverTheLimit stated that an idle connection keeps its place and the new one is rejected, the opposite of the requirement. closesTheLongestIdleConnectionAtTheLimit replaces it, and still checks the rejection if all connections are busy. The fixture's limit of 20 s now covers the whole wait, since the server has periodic work.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -2,10 +2,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <malloc.h>
 #include <vector>
 
+#include "net/HttpRefusal.h"
 #include "net/HttpServerConnection.h"
-#include "protocol/ErrorCodec.h"
+#include "net/MemoryBudget.h"
 
 namespace hickoryknot {
 
@@ -18,14 +20,13 @@
 /// Delay after a failed accept; prevents a busy loop when the process is out of file descriptors.
 constexpr Duration acceptRetryDelay = 100ms;
 constexpr int listenBacklog = 1024;
+/// Period of the work that is not part of any request: checks of long requests, and the return of freed memory.
+constexpr Duration maintenancePeriod = 500ms;
 
 // Sends a 503 response with a single non-blocking write (best effort).
 void rejectConnection(tcp::socket socket)
 {
-    const std::string body = encodeError({ ErrorCode::Overloaded, "the host has too many connections" });
-    const std::string response = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nX-Not-Started: 1\r\n"
-                                 "Content-Type: application/json\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string response = refusalText("the host has too many connections");
     error_code ignored;
     socket.non_blocking(true, ignored);
     socket.write_some(asio::buffer(response), ignored);
@@ -39,8 +40,11 @@
         : context(std::make_shared<HttpServerContext>())
         , acceptor(io)
         , timer(io)
+        , maintenanceTimer(io)
     {
         context->settings = std::move(settings);
+        if (!context->settings.memory)
+            context->settings.memory = std::make_shared<MemoryBudget>();
         context->handler = std::move(handler);
     }
 
@@ -49,11 +53,15 @@
     void serve(tcp::socket);
     void retryAccept();
     void closeConnections(bool idleOnly);
+    /// Closes a connection for a new one. False: all are busy.
+    bool evict();
+    void maintain();
 
     std::shared_ptr<HttpServerContext> context;
     tcp::acceptor acceptor;
     /// Delays accept retries; once draining, runs for the drain grace period.
     asio::steady_timer timer;
+    asio::steady_timer maintenanceTimer;
     uint16_t port { 0 };
 };
 
@@ -84,8 +92,11 @@
     acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
         if (!self->acceptor.is_open())
             return;
-        if (error)
+        if (error) {
+            if (error == asio::error::no_descriptors)
+                self->evict();
             return self->retryAccept();
+        }
         self->serve(std::move(socket));
         self->accept();
     });
@@ -93,8 +104,10 @@
 
 void HttpServer::Impl::serve(tcp::socket socket)
 {
-    if (context->connections.size() >= context->settings.maxConnections)
+    if (context->connections.size() >= context->settings.maxConnections && !evict()) {
+        ++context->counters.rejectedConnections;
         return rejectConnection(std::move(socket));
+    }
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto connection = std::make_shared<HttpServerConnection>(std::move(socket), context);
@@ -102,6 +115,36 @@
     connection->start();
 }
 
+bool HttpServer::Impl::evict()
+{
+    const auto& connections = context->idle.empty() ? context->unfinished : context->idle;
+    if (connections.empty())
+        return false;
+    ++context->counters.evictedConnections;
+    connections.front()->drop();
+    return true;
+}
+
+void HttpServer::Impl::maintain()
+{
+    maintenanceTimer.expires_after(maintenancePeriod);
+    maintenanceTimer.async_wait([self = shared_from_this()](error_code error) {
+        if (error)
+            return;
+        const auto now
+            = TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+        // checkInput() may remove the connection from the set, so this iterates over a copy.
+        const std::vector<std::shared_ptr<HttpServerConnection>> open(
+            self->context->connections.begin(), self->context->connections.end());
+        for (const auto& connection : open)
+            connection->checkInput(now);
+        // The allocator keeps freed memory, which counts as the process's. Returning it takes milliseconds.
+        if (self->context->settings.memory->takeReleaseDue())
+            malloc_trim(0);
+        self->maintain();
+    });
+}
+
 void HttpServer::Impl::retryAccept()
 {
     timer.expires_after(acceptRetryDelay);
@@ -132,14 +175,17 @@
     error_code ignored;
     m_impl->acceptor.close(ignored);
     m_impl->timer.cancel();
+    m_impl->maintenanceTimer.cancel();
     m_impl->closeConnections(false);
 }
 
 Expected<void> HttpServer::start()
 {
     auto result = m_impl->listen();
-    if (result)
+    if (result) {
         m_impl->accept();
+        m_impl->maintain();
+    }
     return result;
 }
 
@@ -162,4 +208,6 @@
 
 size_t HttpServer::connections() const { return m_impl->context->connections.size(); }
 
+const ClientLimitCounters& HttpServer::counters() const { return m_impl->context->counters; }
+
 } // namespace hickoryknot
--- a/src/net/HttpServerConnection.h
+++ b/src/net/HttpServerConnection.h
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
+#include "core/Error.h"
+#include "core/Time.h"
 #include "net/HttpServerContext.h"
 
 namespace hickoryknot {
@@ -26,16 +28,41 @@
     /// True while waiting for the first byte of the next request.
     bool isIdle() const;
 
+    /// Closes the connection for others: while it is idle, while its request is unfinished, or while its response is
+    /// not read. An unfinished request gets a 503 response if it can be sent without waiting.
+    void drop();
+
+    /// Called periodically. Keeps input from piling up in the kernel while a request is handled for long.
+    void checkInput(TimePoint now);
+
 private:
     struct State;
+    enum class Phase : uint8_t {
+        Idle,
+        Reading,
+        Handling,
+        Writing,
+        Lingering,
+    };
 
+    void enter(Phase);
     void waitForRequest();
-    void readHeader();
-    void readBody();
+    void beginRequest();
+    /// Reads more of the unfinished request.
+    void readMore();
+    /// Parses what has arrived, and charges it to the memory budget.
+    void parseInput();
+    /// Handles a complete header. False: the request was rejected, or continues after an interim response.
+    bool handleHeader();
+    void handleError(const boost::system::error_code&);
+    /// Memory that the unfinished request occupies, in bytes.
+    size_t heldBytes() const;
     void dispatch();
+    void readAhead();
+    void resume();
     void finishRequest();
     /// Sends an error response to an invalid request, then closes the connection.
-    void reject(int status, const Error&);
+    void reject(int status, const Error&, bool isRetryable = false);
     void write(HttpResponse, bool keepAlive);
     /// Lingering close: reads and discards further input before closing, since closing with unread input would reset
     /// the connection and could destroy the response in flight.
--- a/tests/net/HttpFixture.h
+++ b/tests/net/HttpFixture.h
@@ -28,13 +28,15 @@
 
     Endpoint endpoint() const { return { "127.0.0.1", server->port() }; }
 
-    /// Runs the event loop until the condition holds; fails if no handler runs for 20 s.
+    /// Runs the event loop until the condition holds; fails after 20 s.
     template <typename Condition> void runUntil(Condition condition)
     {
+        const auto end = std::chrono::steady_clock::now() + 20s;
         while (!condition()) {
             io.restart();
-            if (io.run_one_for(20s) == 0)
-                CPPUNIT_FAIL("the event loop has nothing left to do");
+            // The server has periodic work, so a limit on the time without a handler would never be reached.
+            if (io.run_one_until(end) == 0)
+                CPPUNIT_FAIL("the condition does not come true");
         }
     }
 
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -1,4 +1,5 @@
 #include "net/HttpFixture.h"
+#include "net/MemoryBudget.h"
 
 namespace hickoryknot {
 
@@ -14,7 +15,11 @@
     CPPUNIT_TEST(sendsErrorWhenResponderIsDestroyed);
     CPPUNIT_TEST(drainFinishesRequestInProgress);
     CPPUNIT_TEST(drainServesRequestInFlight);
-    CPPUNIT_TEST(rejectsConnectionsOverTheLimit);
+    CPPUNIT_TEST(closesTheLongestIdleConnectionAtTheLimit);
+    CPPUNIT_TEST(refusedRequestIsNotHandled);
+    CPPUNIT_TEST(dropsUnfinishedRequestForAnother);
+    CPPUNIT_TEST(dropsUnreadResponseForAnother);
+    CPPUNIT_TEST(closesOnInputBeforeTheResponse);
     CPPUNIT_TEST(dropsHeadersWithLineBreaks);
     CPPUNIT_TEST(confirmsExpectContinue);
     CPPUNIT_TEST(reportsAddressInUse);
@@ -158,14 +163,112 @@
         CPPUNIT_ASSERT(contains(readToEnd(socket), "Connection: close"));
     }
 
-    // Guards against running out of file descriptors, and against rejecting a connection without a response.
-    void rejectsConnectionsOverTheLimit()
+    static std::shared_ptr<MemoryBudget> budget(size_t bytes)
     {
-        serve(echo, { .maxConnections = 1 });
+        return std::make_shared<MemoryBudget>(MemoryBudgetSettings { .poolBytes = { bytes, bytes, bytes } });
+    }
+
+    static std::string upload(size_t announced, size_t sent)
+    {
+        return "POST /x HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(announced) + "\r\n\r\n"
+            + std::string(sent, 'x');
+    }
+
+    // Guards against running out of file descriptors, against idle clients that lock out others, and against closing a
+    // connection whose request is being handled.
+    void closesTheLongestIdleConnectionAtTheLimit()
+    {
+        std::vector<HttpServer::Responder> responders;
+        serve([&](HttpRequest, HttpServer::Responder respond) { responders.push_back(std::move(respond)); },
+            { .maxConnections = 2 });
+        auto busy = connectRaw();
+        boost::asio::write(busy, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+        runUntil([&] { return responders.size() == 1; });
+        auto idle = connectRaw();
+        runUntil([&] { return server->connections() == 2; });
+        auto third = connectRaw();
+        CPPUNIT_ASSERT_EQUAL(std::string(), readToEnd(idle));
+        boost::asio::write(third, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+        runUntil([&] { return responders.size() == 2; });
+        // All are busy.
+        auto fourth = connectRaw();
+        const auto rejected = readToEnd(fourth);
+        CPPUNIT_ASSERT(rejected.starts_with("HTTP/1.1 503 ") && contains(rejected, "Retry-After: 1"));
+        for (auto& respond : responders)
+            respond({});
+        CPPUNIT_ASSERT(readToEnd(busy).starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(readToEnd(third).starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().evictedConnections);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().rejectedConnections);
+    }
+
+    // Guards against running a request that was refused, and against memory that stays charged.
+    void refusedRequestIsNotHandled()
+    {
+        const auto memory = budget(400'000);
+        std::vector<HttpServer::Responder> responders;
+        serve([&](HttpRequest, HttpServer::Responder respond) { responders.push_back(std::move(respond)); },
+            { .memory = memory });
         auto first = connectRaw();
+        boost::asio::write(first, boost::asio::buffer(upload(300'000, 300'000)));
+        runUntil([&] { return responders.size() == 1; });
+        const auto refused = rawExchange(upload(300'000, 300'000));
+        CPPUNIT_ASSERT(refused.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(refused, "Retry-After: 1") && contains(refused, "X-Not-Started: 1"));
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, responders.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().refusedRequests);
+        responders.front()({});
+        CPPUNIT_ASSERT(readToEnd(first).starts_with("HTTP/1.1 200 "));
+        runUntil([&] { return server->connections() == 0; });
+        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, memory->heldBytes(MemoryPool::Clients));
+    }
+
+    // Guards against unfinished requests that keep ordinary ones out, and against charging what was only announced.
+    void dropsUnfinishedRequestForAnother()
+    {
+        const auto memory = budget(400'000);
+        serve(echo, { .memory = memory });
+        auto announced = connectRaw();
+        boost::asio::write(announced, boost::asio::buffer(upload(1'000'000, 10)));
+        auto unfinished = connectRaw();
+        boost::asio::write(unfinished, boost::asio::buffer(upload(400'000, 360'000)));
+        runUntil([&] { return memory->heldBytes(MemoryPool::Clients) > 360'000; });
+        CPPUNIT_ASSERT(rawExchange(upload(60'000, 60'000)).starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().droppedConnections);
         runUntil([&] { return server->connections() == 1; });
-        auto second = connectRaw();
-        CPPUNIT_ASSERT(readToEnd(second).starts_with("HTTP/1.1 503 "));
+        boost::asio::write(announced, boost::asio::buffer(std::string(300'000, 'x')));
+        runUntil([&] { return memory->heldBytes(MemoryPool::Clients) > 300'000; });
+    }
+
+    // Guards against responses that accumulate for clients that do not read.
+    void dropsUnreadResponseForAnother()
+    {
+        const auto memory = budget(9'000'000);
+        serve([](HttpRequest, HttpServer::Responder respond) { respond({ .body = std::string(8'000'000, 'x') }); },
+            { .memory = memory, .slowReaderGrace = 0ms });
+        auto slow = connectRaw();
+        boost::asio::write(slow, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        runUntil([&] { return memory->heldBytes(MemoryPool::Clients) > 8'000'000; });
+        CPPUNIT_ASSERT(rawExchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n").size() > 8'000'000);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().droppedConnections);
+    }
+
+    // Guards against input that piles up in the kernel while a request is handled, and against losing a request that
+    // was sent ahead within the limit.
+    void closesOnInputBeforeTheResponse()
+    {
+        std::vector<HttpServer::Responder> responders;
+        serve([&](HttpRequest, HttpServer::Responder respond) { responders.push_back(std::move(respond)); });
+        const std::string get = "GET / HTTP/1.1\r\n\r\n";
+        auto polite = connectRaw();
+        boost::asio::write(polite, boost::asio::buffer(get + get));
+        runUntil([&] { return responders.size() == 1; });
+        auto flood = connectRaw();
+        boost::asio::write(flood, boost::asio::buffer(get + std::string(100'000, 'x')));
+        runUntil([&] { return server->counters().droppedConnections == 1; });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, server->connections());
+        responders.front()({});
+        runUntil([&] { return responders.size() == 3; });
     }
 
     // Guards against response splitting through header values.
