Give each process one memory budget and connection limits from its machine

Cause: the roles allowed 3,000 connections on each port whatever the descriptors, and no port knew what the others held.

Readiness, calls and messages between hosts and workers' reports have room of their own.

--- a/src/app/ApiServer.cpp
+++ b/src/app/ApiServer.cpp
@@ -1,5 +1,6 @@
 #include "app/ApiServer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -12,6 +13,8 @@
 #include "app/ReportThread.h"
 #include "app/RequestDispatcher.h"
 #include "app/SteadyTime.h"
+#include "net/DescriptorShares.h"
+#include "net/MemoryBudget.h"
 #include "protocol/CancelBatchCodec.h"
 #include "protocol/ErrorCodec.h"
 #include "protocol/ForwardedProposal.h"
@@ -57,6 +60,16 @@
     return route.empty() && path.empty();
 }
 
+/// Calls between hosts, health probes and the reports of workers and servers have room of their own.
+MemoryPool classify(std::string_view, std::string_view target)
+{
+    if (target.starts_with("/internal/") || target.starts_with("/v1/health"))
+        return MemoryPool::Hosts;
+    if (target.starts_with("/v1/workers/heartbeat") || target.starts_with("/v1/servers/heartbeat"))
+        return MemoryPool::Workers;
+    return MemoryPool::Clients;
+}
+
 std::string makeRequestId(const std::string& prefix)
 {
     static uint64_t count = 0;
@@ -104,12 +117,18 @@
     , m_requests(requests)
     , m_report(report)
     , m_startDrain(std::move(startDrain))
+    , m_memory(std::make_shared<MemoryBudget>(memoryBudgetOf(settings.memoryMb << 20)))
     , m_server(loop.context(),
           HttpServerSettings { .listen = settings.listen,
               .maxBodyBytes = protocol_limits::maxInternalMessageBytes,
-              .maxConnections = settings.maxConnections },
+              .maxConnections
+              = std::min(settings.maxConnections, shareDescriptors(descriptorLimit(0), DescriptorUse::Serve).clients),
+              .memory = m_memory,
+              .classifier = classify },
           [this](HttpRequest request, Responder respond) { dispatch(std::move(request), std::move(respond)); })
+    , m_clientLimits(m_memory)
 {
+    m_clientLimits.addPort("api", [this] { return m_server.counters(); });
 }
 
 ApiServer::~ApiServer() = default;
--- a/src/app/ApiServer.h
+++ b/src/app/ApiServer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "app/ClientLimitReport.h"
 #include "app/HostClient.h"
 #include "app/HostSettings.h"
 #include "net/HttpServer.h"
@@ -39,6 +40,9 @@
     /// Rejects new work from now on; queries are still served.
     void rejectNewWork() { m_rejectsNewWork = true; }
 
+    /// Writes to the log what was done about clients that exceed the limits. Call periodically.
+    void logClientLimits(TimePoint now) { m_clientLimits.logChanges(now); }
+
     size_t requestsInProgress() const { return m_server.requestsInProgress(); }
     uint16_t port() const { return m_server.port(); }
 
@@ -124,7 +128,9 @@
     RequestDispatcher& m_requests;
     ReportThread& m_report;
     StartDrain m_startDrain;
+    std::shared_ptr<MemoryBudget> m_memory;
     HttpServer m_server;
+    ClientLimitReport m_clientLimits;
     bool m_rejectsNewWork { false };
 };
 
--- a/src/app/ApiServerReports.cpp
+++ b/src/app/ApiServerReports.cpp
@@ -33,7 +33,9 @@
         { "forwarded", &RouterCounts::forwarded },
         { "late_answers", &RouterCounts::lateResponsesDropped },
     };
-    m_report.update([counts = m_requests.counts(), inProgress = m_requests.requestsInProgress()](Metrics& metrics) {
+    m_report.update([counts = m_requests.counts(), inProgress = m_requests.requestsInProgress(),
+                        limits = m_clientLimits.figures()](Metrics& metrics) {
+        limits.addTo(metrics);
         for (const auto& counter : counters) {
             const auto id = metrics.counter("hickoryknot_requests_total", "Short requests by what became of them.",
                 { { "event", counter.outcome } });
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -173,6 +173,7 @@
         if (error)
             return;
         m_requests.tick(steadyNow());
+        m_api.logClientLimits(steadyNow());
         scheduleNetworkTick();
     });
 }
--- a/src/app/HostSettings.cpp
+++ b/src/app/HostSettings.cpp
@@ -33,7 +33,12 @@
     SettingDescription { "log-level", "Lowest level logged: debug, info, warning, error (default: info)", false },
     SettingDescription {
         "seed", "Seed of random choices, 1 to 18446744073709551615; 0 takes one from the system (default: 0)", false },
-    SettingDescription { "max-connections", "Connections served at once, 16 to 65536 (default: 2048)", false },
+    SettingDescription { "max-connections",
+        "Connections served at once, 16 to 65536; fewer if the process may open fewer descriptors (default: 2048)",
+        false },
+    SettingDescription { "memory-mb",
+        "Memory that the process may use, 32 to 1048576 MB; bounds what requests and responses hold (default: 512)",
+        false },
     SettingDescription { "drain-bound-ms",
         "Longest wait for requests in progress at a planned stop, 100 to 600000 ms (default: 60000)", false },
 };
@@ -142,6 +147,7 @@
         Number { "seed", 0, UINT64_MAX, [](HostSettings& target, uint64_t value) { target.seed = value; } },
         Number {
             "max-connections", 16, 65536, [](HostSettings& target, uint64_t value) { target.maxConnections = value; } },
+        Number { "memory-mb", 32, 1048576, [](HostSettings& target, uint64_t value) { target.memoryMb = value; } },
         Number { "drain-bound-ms", 100, 600000,
             [](HostSettings& target, uint64_t value) { target.drainBound = std::chrono::milliseconds(value); } },
     };
--- a/src/app/HostSettings.h
+++ b/src/app/HostSettings.h
@@ -36,6 +36,8 @@
     /// Grows with each start of the process: milliseconds since 1970 at the start. Not a setting.
     uint64_t incarnation { 0 };
     size_t maxConnections { 2048 };
+    /// Memory of the machine that this process may use, in MB. The budget for requests is derived from it.
+    size_t memoryMb { 512 };
     /// Maximum time a graceful shutdown waits for requests in progress; upper bound of callers' deadlines.
     Duration drainBound { 60s };
 };
--- a/src/core/Events.cpp
+++ b/src/core/Events.cpp
@@ -25,6 +25,8 @@
     { Event::PermissionFailed, "PermissionFailed", "the permission service did not answer a call" },
     { Event::CourierFound, "CourierFound", "a host carries orders to workers for the leader" },
     { Event::CourierSilent, "CourierSilent", "a host leaves orders for workers without an answer" },
+    { Event::ClientsLimited, "ClientsLimited",
+        "clients reached a limit of the host; the line counts refusals, dropped and evicted connections of a port" },
     { Event::LeaderChanged, "LeaderChanged", "a replicated log has a new leader or none" },
     { Event::StorageRecovered, "StorageRecovered", "the data folder was read" },
     { Event::StorageFailed, "StorageFailed", "a write or sync failed; the host acknowledges nothing more" },
--- a/src/core/Events.h
+++ b/src/core/Events.h
@@ -24,6 +24,7 @@
     PermissionFailed = 116,
     CourierFound = 117,
     CourierSilent = 118,
+    ClientsLimited = 119,
     LeaderChanged = 200,
     StorageRecovered = 210,
     StorageFailed = 211,
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -173,6 +173,15 @@
         for (const char* invalid : { "", "{}", "[1]", R"({"node":"n","zone":"z","ip":"x","internalPortRange":[1]})",
                  R"({"node":"n","zone":"z","ip":"x","internalPortRange":[1,2],"seeds":["nowhere"]})" })
             CPPUNIT_ASSERT_MESSAGE(invalid, !decodeSettings(invalid));
+        // Guards against limits of the machine that are ignored, or that leave no room for a body of the largest size.
+        auto limited = json::parse(settings);
+        limited["limits"] = { { "memoryMb", 384.0 }, { "maxFds", 4096 } };
+        const auto machine = decodeSettings(limited.dump());
+        CPPUNIT_ASSERT(machine && machine->maxDescriptors == 4096);
+        for (const size_t bytes : memoryBudgetFor(*machine).poolBytes)
+            CPPUNIT_ASSERT(bytes > size_t { 4 } << 20 && bytes <= size_t { 48 } << 20);
+        limited["limits"] = { { "memoryMb", 0 } };
+        CPPUNIT_ASSERT(!decodeSettings(limited.dump()));
     }
 
     // Guards against reports of another writer that are recorded and then cannot be used, or do not fit into the log.
