--- a/src/core/Events.cpp
+++ b/src/core/Events.cpp
@@ -27,6 +27,8 @@
     { Event::CourierSilent, "CourierSilent", "a host leaves orders for workers without an answer" },
     { Event::CallUnauthorised, "CallUnauthorised",
         "calls came without a valid key; at most one line a second, with the number of calls since the last one" },
+    { Event::ClientsLimited, "ClientsLimited",
+        "clients reached a limit of the host; the line counts refusals, dropped and evicted connections of a port" },
     { Event::LeaderChanged, "LeaderChanged", "a replicated log has a new leader or none" },
     { Event::StorageRecovered, "StorageRecovered", "the data folder was read" },
     { Event::StorageFailed, "StorageFailed", "a write or sync failed; the host acknowledges nothing more" },
--- a/src/core/Events.h
+++ b/src/core/Events.h
@@ -25,6 +25,7 @@
     CourierFound = 117,
     CourierSilent = 118,
     CallUnauthorised = 119,
+    ClientsLimited = 120,
     LeaderChanged = 200,
     StorageRecovered = 210,
     StorageFailed = 211,
