--- a/bench/workflow/SchedulerBench.cpp
+++ b/bench/workflow/SchedulerBench.cpp
@@ -205,15 +205,30 @@
     {
         std::printf("median error of run times: factor %.2f for the declared estimate, %.2f for the expected time\n",
             std::exp(quantile(m_declaredErrors, 0.5)), std::exp(quantile(m_expectedErrors, 0.5)));
-        for (const auto& [queue, seconds] : m_observer.seconds)
-            std::printf("%s: %zu ended, acceptance to end p50 %.2f s, p90 %.2f s, %.0f%% of tasks on fast workers\n",
+        for (const auto& [queue, seconds] : m_observer.seconds) {
+            const double objective = objectiveOf(queue);
+            const auto late
+                = std::count_if(seconds.begin(), seconds.end(), [&](double taken) { return taken > objective; });
+            std::printf("%s: %zu ended, acceptance to end p50 %.2f s, p90 %.2f s, %.1f%% late, %.0f%% of tasks on fast "
+                        "workers\n",
                 queue.value().c_str(), seconds.size(), quantile(seconds, 0.5), quantile(seconds, 0.9),
+                100 * static_cast<double>(late) / static_cast<double>(seconds.size()),
                 100 * m_startsOf.at(queue).first / m_startsOf.at(queue).second);
+        }
         const auto active = std::count_if(m_state.workflows().begin(), m_state.workflows().end(),
             [](const auto& item) { return item.second.isActive(); });
         std::printf("%td not ended\n", active);
     }
 
+    // The queue's objective for the usual run time of its work, in seconds.
+    double objectiveOf(const QueueName& name) const
+    {
+        const Queue& queue = *m_state.table().find(name);
+        const Duration objective
+            = m_runTimeOf.at(name) * static_cast<int64_t>(queue.stretchPermille) / 1000 + queue.targetLatency;
+        return std::chrono::duration<double>(objective).count();
+    }
+
     // Evenly distributed, and the same whatever is decided.
     static double fractionOf(const std::string& text) { return static_cast<double>(hashBytes(text) % 10'000) / 10'000; }
 
@@ -285,6 +300,7 @@
         accept.id = WorkflowId(id);
         m_baseRunTimes.emplace(accept.id, runTime);
         accept.queue = QueueName(queue);
+        m_runTimeOf[accept.queue] = runTime;
         accept.pool = PoolName("pool");
         accept.maxAttempts = 4;
         accept.spec.command = std::string(2400, 'x');
@@ -399,6 +415,7 @@
     Options m_options;
     BenchObserver m_observer;
     std::map<WorkflowId, Duration> m_baseRunTimes;
+    std::map<QueueName, Duration> m_runTimeOf;
     std::vector<double> m_declaredErrors; // |log(estimate / run time)|.
     std::vector<double> m_expectedErrors;
     std::map<QueueName, std::pair<double, double>> m_startsOf; // On fast workers, and on all.
