Close slow readers for new connections at the connection limit

Cause: at the limit only idle connections and unfinished requests gave way, so clients that do not read their responses could occupy all connections of a port until their write timeout.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -117,8 +117,12 @@
 
 bool HttpServer::Impl::evict()
 {
-    const auto& connections = context->idle.empty() ? context->unfinished : context->idle;
-    if (connections.empty())
+    const auto now
+        = TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    const auto& connections = !context->idle.empty() ? context->idle
+        : !context->unfinished.empty()               ? context->unfinished
+                                                     : context->writing;
+    if (connections.empty() || (&connections == &context->writing && !connections.front()->isSlowReader(now)))
         return false;
     ++context->counters.evictedConnections;
     connections.front()->drop();
--- a/src/net/HttpServerConnection.cpp
+++ b/src/net/HttpServerConnection.cpp
@@ -152,10 +152,26 @@
 
 bool HttpServerConnection::isIdle() const { return m_state->phase == Phase::Idle; }
 
+bool HttpServerConnection::isSlowReader(TimePoint now) const
+{
+    return m_state->phase == Phase::Writing && now - m_state->phaseStart >= m_context->settings.slowReaderGrace;
+}
+
 void HttpServerConnection::enter(Phase phase)
 {
-    const auto listOf = [this](Phase of) {
-        return of == Phase::Idle ? &m_context->idle : of == Phase::Reading ? &m_context->unfinished : nullptr;
+    const auto listOf = [this](Phase of) -> HttpServerContext::ConnectionList* {
+        switch (of) {
+        case Phase::Idle:
+            return &m_context->idle;
+        case Phase::Reading:
+            return &m_context->unfinished;
+        case Phase::Writing:
+            return &m_context->writing;
+        case Phase::Handling:
+        case Phase::Lingering:
+            break;
+        }
+        return nullptr;
     };
     if (auto* list = listOf(m_state->phase))
         list->erase(m_state->position);
--- a/src/net/HttpServerConnection.h
+++ b/src/net/HttpServerConnection.h
@@ -28,6 +28,9 @@
     /// True while waiting for the first byte of the next request.
     bool isIdle() const;
 
+    /// True if the client has not read its response within the grace period.
+    bool isSlowReader(TimePoint now) const;
+
     /// Closes the connection for others: while it is idle, while its request is unfinished, or while its response is
     /// not read. An unfinished request gets a 503 response if it can be sent without waiting.
     void drop();
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(refusedRequestIsNotHandled);
     CPPUNIT_TEST(dropsUnfinishedRequestForAnother);
     CPPUNIT_TEST(dropsUnreadResponseForAnother);
+    CPPUNIT_TEST(closesSlowReaderAtTheLimit);
     CPPUNIT_TEST(closesOnInputBeforeTheResponse);
     CPPUNIT_TEST(dropsHeadersWithLineBreaks);
     CPPUNIT_TEST(confirmsExpectContinue);
@@ -253,6 +254,18 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().droppedConnections);
     }
 
+    // Guards against clients that do not read and thereby occupy all connections.
+    void closesSlowReaderAtTheLimit()
+    {
+        serve([](HttpRequest, HttpServer::Responder respond) { respond({ .body = std::string(8'000'000, 'x') }); },
+            { .maxConnections = 1, .slowReaderGrace = 0ms });
+        auto slow = connectRaw();
+        boost::asio::write(slow, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        runUntil([&] { return server->requestsInProgress() == 1; });
+        CPPUNIT_ASSERT(rawExchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n").size() > 8'000'000);
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, server->counters().evictedConnections);
+    }
+
     // Guards against input that piles up in the kernel while a request is handled, and against losing a request that
     // was sent ahead within the limit.
     void closesOnInputBeforeTheResponse()
