--- a/src/net/DescriptorShares.h
+++ b/src/net/DescriptorShares.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 
+#include "net/DescriptorUse.h"
+
 namespace hickoryknot {
 
 /// How the descriptors of a process are divided among its ports, so that no port can use up those of another. What is
@@ -13,13 +15,6 @@
     size_t messages { 0 };
 };
 
-/// Kind of process by what it connects to.
-enum class DescriptorUse {
-    Entry, // A few hosts.
-    Control, // All workers.
-    Serve, // Hosts and backend servers; all clients use one port.
-};
-
 DescriptorShares shareDescriptors(size_t maxDescriptors, DescriptorUse);
 
 /// The lower of the configured limit and that of the process (RLIMIT_NOFILE). 0: only the latter counts.
--- a/src/net/HttpServerConnection.cpp
+++ b/src/net/HttpServerConnection.cpp
@@ -13,7 +13,7 @@
 #include "net/HttpRefusal.h"
 #include "net/MemoryBudget.h"
 #include "net/MemoryCharge.h"
-#include "net/ReceivedBody.h"
+#include "net/ReceivedBodyType.h"
 #include "protocol/ErrorCodec.h"
 
 namespace hickoryknot {
