--- a/src/net/HttpServerContext.h
+++ b/src/net/HttpServerContext.h
@@ -21,8 +21,8 @@
     std::unordered_set<std::shared_ptr<HttpServerConnection>> connections;
     size_t requestsInProgress { 0 };
     bool isDraining { false };
-    /// Connections that wait for a request, those with an unfinished one, and those whose response is being written, each
-    /// in the order in which that began.
+    /// Connections that wait for a request, those with an unfinished one, and those whose response is being written,
+    /// each in the order in which that began.
     ConnectionList idle;
     ConnectionList unfinished;
     ConnectionList writing;
