Review case 13: a job that was answered 404 runs

Takes the place of the crash case, which review/7 shows already; that one and its script are removed.

Cause: LeaderClient::onResult() tells a refusal after an attempt without a reply as uncertain, but not the answer that there is no such queue. With an answer lost on a silent channel and the route dropped meanwhile, the retry is answered 404 while the job runs. The stand-in gets links that can be made silent.

Run: review/13/run.sh's program five times and once with TROUBLE=0. Measured: 5 of 5 exit with 1; TROUBLE=0 exits with 0.

--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -21,8 +21,8 @@
 
 /// Hundreds of changes of a large configuration; CONFIG and LOST.
 Verdict runConfigStorm(const CaseOptions&, Record&);
-/// Workers crash under one task; LOST.
-Verdict runWorkerCrashes(const CaseOptions&, Record&);
+/// Open connections go silent while a route is dropped; REFUSED.
+Verdict runRefusedSubmission(const CaseOptions&, Record&);
 /// A worker crashes under a gang with checkpoints; UNASKED.
 Verdict runGangCheckpoint(const CaseOptions&, Record&);
 /// A submission reaches the system after its cancellation, with a change of leader between them; UNASKED.
--- a/review/standin-3/Cell.cpp
+++ b/review/standin-3/Cell.cpp
@@ -1,6 +1,5 @@
 #include "Cell.h"
 
-#include <arpa/inet.h>
 #include <cerrno>
 #include <chrono>
 #include <csignal>
@@ -9,7 +8,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <stdexcept>
@@ -20,6 +18,7 @@
 #include <unistd.h>
 
 #include "Fleet.h"
+#include "Sockets.h"
 
 namespace review {
 
@@ -37,10 +36,7 @@
 bool isFree(const std::string& ip, uint16_t port)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    const auto address = socketAddress({ ip, port });
     const int one = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     const bool result = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
@@ -64,9 +60,10 @@
     m_file << time << line << std::endl;
 }
 
-Cell::Cell(std::string program, Record& record)
+Cell::Cell(std::string program, Record& record, bool hasLinks)
     : m_program(std::move(program))
     , m_record(record)
+    , m_hasLinks(hasLinks)
 {
     std::string pattern = std::filesystem::temp_directory_path() / "review-XXXXXX";
     if (!::mkdtemp(pattern.data()))
@@ -100,6 +97,31 @@
         add(zone, true);
     add(zones[0], false);
     add(zones[1], false);
+    for (const auto& host : m_hosts) {
+        if (!hasLinks)
+            break;
+        const std::vector<uint16_t> ports { internalPort, internalPort + 1 };
+        for (size_t i = 0; i < (host.isControl ? 2 : 1); ++i) {
+            m_links.push_back(
+                std::make_unique<Link>(Address { host.ip, ports[i] }, Address { bindIp(host), ports[i] }));
+            if (!m_links.back()->isOpen())
+                throw std::runtime_error("a port of a link is not free");
+        }
+    }
+}
+
+// Behind the links.
+std::string Cell::bindIp(const Host& host) const
+{
+    constexpr size_t firstBound = 10;
+    return ip(firstBound + static_cast<size_t>(&host - m_hosts.data()));
+}
+
+void Cell::silenceOpenConnections()
+{
+    m_record.write("all open connections between hosts become silent");
+    for (const auto& link : m_links)
+        link->silenceOpenConnections();
 }
 
 Cell::~Cell()
@@ -193,6 +215,8 @@
                 { "checkpointS", 1 }, { "restoreMs", 250 }, { "noticeMs", 4500 }, { "moveS", 1.5 }, { "upkeepS", 2 },
                 { "fencingRequired", false }, { "leaseMs", 3000 }, { "thawMs", 300 }, { "paceMs", 100 },
                 { "harmMs", 4000 } } } };
+    if (m_hasLinks)
+        settings["bindIp"] = bindIp(host);
     if (host.isControl)
         settings["dataDir"] = host.folder + "/data";
     std::ofstream(host.folder + "/settings.json") << settings.dump(1);
--- a/review/standin-3/Cell.h
+++ b/review/standin-3/Cell.h
@@ -4,12 +4,14 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <sys/types.h>
 #include <vector>
 
 #include "Http.h"
+#include "Link.h"
 
 namespace review {
 
@@ -40,7 +42,8 @@
     };
 
     /// `program` is the binary that the deploy file's build command makes.
-    Cell(std::string program, Record&);
+    /// With links, the hosts reach each other through proxies.
+    Cell(std::string program, Record&, bool hasLinks);
     ~Cell();
     Cell(const Cell&) = delete;
     Cell& operator=(const Cell&) = delete;
@@ -65,18 +68,23 @@
     /// A loopback address of this run on which all ports are free for stand-ins.
     std::string standinIp(size_t number) const;
     uint16_t standinPort() const;
+    /// Needs links: open connections between hosts carry nothing any more, and new ones work.
+    void silenceOpenConnections();
     /// Resident memory of the host's process in MB; 0 if it does not run.
     double residentMb(const Host&) const;
 
 private:
     void writeSettings(const Host&) const;
     std::string ip(size_t number) const;
+    std::string bindIp(const Host&) const;
 
     std::string m_program;
     Record& m_record;
     std::string m_folder;
     std::string m_prefix; // The first three bytes of the addresses.
+    bool m_hasLinks;
     std::vector<Host> m_hosts;
+    std::vector<std::unique_ptr<Link>> m_links;
 };
 
 } // namespace review
--- a/review/standin-3/CellUnderTest.h
+++ b/review/standin-3/CellUnderTest.h
@@ -12,9 +12,9 @@
 /// A small deployment with its configuration acknowledged and all minions reported.
 class CellUnderTest {
 public:
-    CellUnderTest(const std::string& program, size_t minions, Record& record)
+    CellUnderTest(const std::string& program, size_t minions, Record& record, bool hasLinks = false)
         : m_record(record)
-        , cell(program, record)
+        , cell(program, record, hasLinks)
         , consumer(cell, record)
     {
         std::vector<Address> addresses;
--- a/review/standin-3/Consumer.cpp
+++ b/review/standin-3/Consumer.cpp
@@ -41,7 +41,7 @@
 {
 }
 
-bool Consumer::putConfig(const json& config, int64_t timeoutMs)
+bool Consumer::putConfig(const json& config, int64_t timeoutMs, size_t firstHost)
 {
     HttpMessage request;
     request.method = "PUT";
@@ -49,7 +49,7 @@
     request.body = config.dump();
     const auto hosts = m_cell.controlAddresses();
     const int64_t until = steadyMs() + timeoutMs;
-    for (size_t i = 0; steadyMs() < until; ++i) {
+    for (size_t i = firstHost; steadyMs() < until; ++i) {
         request.headers["host"] = hosts[i % hosts.size()].text();
         const auto response = callOnce(hosts[i % hosts.size()], request, operatorTimeoutMs);
         if (response && response->status == 200) {
@@ -98,6 +98,13 @@
     return result;
 }
 
+HttpMessage Consumer::submission(const std::string& prefix, const std::string& id, const json& job) const
+{
+    auto result = submission(id, job);
+    result.path = prefix + id;
+    return result;
+}
+
 int Consumer::submit(const Cell::Host& entry, const std::string& id, const json& job)
 {
     m_record.write("POST " + id + " at " + entry.name + " " + job.dump());
--- a/review/standin-3/Consumer.h
+++ b/review/standin-3/Consumer.h
@@ -14,12 +14,15 @@
 public:
     Consumer(Cell&, Record&);
 
-    /// Sends this configuration until it is acknowledged; false if it is not in time.
-    bool putConfig(const nlohmann::json& config, int64_t timeoutMs);
+    /// Sends this configuration, to one control host after the other, until it is acknowledged; false if it is not in
+    /// time.
+    bool putConfig(const nlohmann::json& config, int64_t timeoutMs, size_t firstHost = 0);
     /// Waits until all entry hosts report that they are ready.
     bool waitUntilReady(int64_t timeoutMs);
 
     HttpMessage submission(const std::string& id, const nlohmann::json& job) const;
+    /// The same on another queue.
+    HttpMessage submission(const std::string& prefix, const std::string& id, const nlohmann::json& job) const;
     /// Status of the response; 0: none in time.
     int submit(const Cell::Host& entry, const std::string& id, const nlohmann::json& job);
     /// Like a consumer: repeats the submission at the other hosts as long as its outcome is open.
--- a/review/standin-3/Http.cpp
+++ b/review/standin-3/Http.cpp
@@ -13,19 +13,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "Sockets.h"
+
 namespace review {
 
 namespace {
 
-sockaddr_in socketAddress(const Address& address)
-{
-    sockaddr_in result {};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
-    return result;
-}
-
 const char* reasonOf(int status)
 {
     switch (status) {
@@ -136,14 +129,9 @@
     : m_shared(std::make_shared<Shared>())
 {
     m_shared->handler = std::move(handler);
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int one = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    const auto endpoint = socketAddress(address);
-    if (::bind(fd, reinterpret_cast<const sockaddr*>(&endpoint), sizeof endpoint) || ::listen(fd, 128)) {
-        ::close(fd);
+    const int fd = listenOn(address);
+    if (fd < 0)
         return;
-    }
     m_shared->fd = fd;
     ++m_shared->threads;
     std::thread([shared = m_shared] { accept(shared); }).detach();
--- a/review/standin-3/Main.cpp
+++ b/review/standin-3/Main.cpp
@@ -13,7 +13,7 @@
     using namespace review;
     const std::map<std::string, Verdict (*)(const CaseOptions&, Record&)> cases {
         { "config-storm", runConfigStorm },
-        { "worker-crashes", runWorkerCrashes },
+        { "refused-submission", runRefusedSubmission },
         { "gang-checkpoint", runGangCheckpoint },
         { "late-submission", runLateSubmission },
         { "foreign-report", runForeignReport },
