Record the cancellation of an unknown workflow before it is answered

Cause: the cancellation was held in the memory of the leader only, for 15 s, and the oldest of 20,000 made room.

It is kept for 300 s from the last acknowledgement under each leader. Ended workflows are kept for as long, and anew when they are cancelled again. An acceptance of unknown outcome stays pending, so that a resend of it is not refused.

--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -37,6 +37,10 @@
     : m_accepted(m_metrics.counter("hickoryknot_workflows_accepted_total", "Workflows recorded"))
     , m_refused(m_metrics.counter("hickoryknot_workflows_refused_total", "Workflows refused for lack of room"))
     , m_cancelled(m_metrics.counter("hickoryknot_workflows_cancelled_total", "Workflows cancelled"))
+    , m_unknownCancelled(
+          m_metrics.counter("hickoryknot_unknown_workflows_cancelled_total", "Cancellations of unknown workflows"))
+    , m_unknownCancelsRefused(m_metrics.counter("hickoryknot_unknown_workflow_cancels_refused_total",
+          "Cancellations of unknown workflows refused because the records of their organisation are full"))
     , m_completed(m_metrics.counter("hickoryknot_workflows_completed_total", "Workflows with all tasks done"))
     , m_failed(m_metrics.counter("hickoryknot_workflows_failed_total", "Workflows that used up their attempts"))
     , m_placed(m_metrics.counter("hickoryknot_tasks_placed_total", "Starts recorded"))
@@ -162,6 +166,15 @@
     writeEssential(Event::JobCancelled, "a caller cancelled a workflow", { { "workflow", id.value() } });
 }
 
+void DecisionLog::onUnknownCancelled(const EarlyCancellation::Key& key, bool isRecorded)
+{
+    m_metrics.add(isRecorded ? m_unknownCancelled : m_unknownCancelsRefused);
+    writeEssential(isRecorded ? Event::JobCancelled : Event::RequestNotRun,
+        isRecorded ? "recorded the cancellation of a workflow that is not known"
+                   : "refused to cancel a workflow that is not known: the records of its organisation are full",
+        { { "workflow", key.id.value() }, { "organisation", key.organisation.value() } });
+}
+
 void DecisionLog::onUnauthorisedCall(const QueueName& queue, TimePoint now)
 {
     m_metrics.add(m_unauthorised);
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -8,6 +8,7 @@
 #include "core/Time.h"
 #include "report/Metrics.h"
 #include "workflow/AdmissionController.h"
+#include "workflow/EarlyCancellation.h"
 #include "workflow/SchedulerObserver.h"
 
 namespace hickoryknot {
@@ -29,6 +30,9 @@
     void onRefused(
         const workflow::WorkflowId&, const workflow::QueueName&, const workflow::AdmissionController::Rejection&);
     void onCancelled(const workflow::WorkflowId&);
+    /// A caller cancelled a workflow that is not known. `isRecorded` is false if the records of its organisation are
+    /// full and the call was refused.
+    void onUnknownCancelled(const workflow::EarlyCancellation::Key&, bool isRecorded);
     /// A call for this queue came without a valid key. Writes at most one line per second, so that such calls take
     /// little of the budget.
     void onUnauthorisedCall(const workflow::QueueName&, TimePoint now);
@@ -55,6 +59,8 @@
     CounterId m_accepted;
     CounterId m_refused;
     CounterId m_cancelled;
+    CounterId m_unknownCancelled;
+    CounterId m_unknownCancelsRefused;
     CounterId m_completed;
     CounterId m_failed;
     CounterId m_placed;
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -240,18 +240,20 @@
         [this, alive = m_isAlive, batch, pendingReplies, acceptances](const Expected<std::string>& result) {
             if (!*alive)
                 return;
+            const bool isNotExecuted = !result && result.error().code == ErrorCode::NotLeader;
             for (const auto& [id, queue] : acceptances) {
                 const auto acceptance = m_pendingAcceptances.find(id);
                 if (acceptance == m_pendingAcceptances.end())
                     continue;
-                if (result)
+                if (result && m_state.find(id))
                     m_log.onAccepted(id, queue, steadyNow() - acceptance->second.submittedAt);
-                m_pendingAcceptances.erase(acceptance);
+                // One of unknown outcome stays pending: the workflow may be known soon, so a rejection would be false.
+                if (result || isNotExecuted)
+                    m_pendingAcceptances.erase(acceptance);
             }
-            const bool isNotExecuted = !result && result.error().code == ErrorCode::NotLeader;
             for (const auto& pending : *pendingReplies) {
                 if (result)
-                    pending.respond(pending.reply);
+                    pending.respond(pending.makeReply());
                 else
                     pending.respond(makeReply(
                         isNotExecuted ? ControlStatus::NotLeader : ControlStatus::Uncertain, result.error().message));
@@ -378,6 +380,8 @@
         static_cast<double>(m_scheduler.readyStepCount()));
     metrics.set(metrics.gauge("hickoryknot_log_index", "Last entry of the replicated log"),
         static_cast<double>(m_runner->group().lastIndex()));
+    metrics.set(metrics.gauge("hickoryknot_early_cancellations", "Recorded cancellations of unknown workflows"),
+        static_cast<double>(m_state.earlyCancellations().size()));
     metrics.set(metrics.gauge("hickoryknot_table_version", "Version of the queue table"),
         static_cast<double>(m_state.table().version));
     // Only the leader counts what runs.
--- a/src/control/WorkflowHost.h
+++ b/src/control/WorkflowHost.h
@@ -68,7 +68,7 @@
 private:
     struct PendingReply {
         Respond respond;
-        ControlReply reply;
+        std::function<ControlReply()> makeReply; // Called once the batch is committed and applied.
     };
 
     /// A workflow whose acceptance is not committed yet.
@@ -101,8 +101,12 @@
     tl::expected<AuthorisedTarget, ControlReply> authorise(const CallerAddress&, TimePoint now);
     /// Empty if the workflow is neither recorded nor being committed.
     std::optional<workflow::WorkflowOwner> ownerOf(const workflow::WorkflowId&) const;
-    /// Adds the command to the next batch. Sends the reply once the batch is committed.
-    void enqueueCommand(workflow::WorkflowCommand, const Respond&, ControlReply);
+    /// Adds the command to the next batch. Makes and sends the reply once the batch is committed and applied.
+    void enqueueCommand(workflow::WorkflowCommand, const Respond&, std::function<ControlReply()>);
+    /// The recorded workflow, if this organisation may access it by way of the queue; otherwise null.
+    const workflow::WorkflowRecord* findFor(const workflow::EarlyCancellation::Key&, const workflow::QueueName&) const;
+    /// Cancels a workflow without a record that the caller may access, so that it is not accepted later either.
+    void cancelUnknown(const workflow::EarlyCancellation::Key&, const workflow::QueueName&, const Respond&);
     /// How long events are collected before the next scheduling cycle.
     Duration batchDelay() const;
     void scheduleCycle(Duration delay);
--- a/src/control/WorkflowHostCalls.cpp
+++ b/src/control/WorkflowHostCalls.cpp
@@ -15,6 +15,10 @@
 
 /// A follower serves reads if its last contact with the leader is this recent: a few heartbeats of the log.
 constexpr Duration maxReplicaAge = 200ms;
+/// Delay after which to repeat a cancellation that could not be recorded. Room appears only as earlier ones expire, so
+/// a short delay would not help.
+constexpr Duration fullRecordsRetryDelay = 10s;
+constexpr const char* cancelledBefore = "the workflow was cancelled before it was submitted";
 
 std::string_view withoutTrailingSlashes(std::string_view rest)
 {
@@ -81,7 +85,7 @@
     const auto caller = table.authenticate(*target->queue, call.address.key);
     if (!caller.isAuthorised
         || !table.mayAccess(
-            *target->queue, caller.organisation, { .queue = record->queue, .organisation = record->organisation }))
+            target->queue->name, caller.organisation, { .queue = record->queue, .organisation = record->organisation }))
         return std::nullopt;
     auto reply = makeReply(ControlStatus::Done);
     reply.phase = record->phase;
@@ -116,10 +120,11 @@
     return pending == m_pendingAcceptances.end() ? std::nullopt : std::optional(pending->second.owner);
 }
 
-void WorkflowHost::enqueueCommand(WorkflowCommand command, const Respond& respond, ControlReply reply)
+void WorkflowHost::enqueueCommand(
+    WorkflowCommand command, const Respond& respond, std::function<ControlReply()> makeReplyAfterCommit)
 {
     m_queuedCommands.push_back(std::move(command));
-    m_pendingReplies.push_back({ respond, std::move(reply) });
+    m_pendingReplies.push_back({ respond, std::move(makeReplyAfterCommit) });
     scheduleCycle(batchDelay());
 }
 
@@ -133,7 +138,7 @@
         return respond(makeReply(ControlStatus::Invalid, "the path does not end with an id of 16 hexadecimal digits"));
     const WorkflowId id(target.remainingPath);
     if (const auto owner = ownerOf(id)) {
-        if (!m_state.table().mayAccess(*target.queue, organisation, *owner))
+        if (!m_state.table().mayAccess(target.queue->name, organisation, *owner))
             return respond(makeReply(ControlStatus::IdTaken, "the id belongs to another organisation's workflow"));
         if (m_state.find(id))
             return respond(makeReply(ControlStatus::Done));
@@ -143,8 +148,8 @@
     // A rejection says that the workflow never runs, which is not certain while an earlier submission is being
     // committed.
     if (!m_pendingAcceptances.contains(id)) {
-        if (m_scheduler.wasCancelledEarly(id, organisation, steadyNow()))
-            return respond(makeReply(ControlStatus::NotReady, "the workflow was cancelled before it was submitted"));
+        if (m_scheduler.wasCancelledEarly(id, organisation, target.queue->name))
+            return respond(makeReply(ControlStatus::NotReady, cancelledBefore));
         if (m_scheduler.isQueueBeingRemoved(target.queue->name))
             return respond(makeReply(ControlStatus::NotReady, "the queue is being removed from the table"));
         constexpr uint64_t jitterSteps = 100;
@@ -168,7 +173,10 @@
         .acceptedMs = wallNow().time_since_epoch() / 1ms,
         .organisation = organisation };
     m_scheduler.onAcceptanceProposed(command, steadyNow());
-    enqueueCommand(std::move(command), respond, makeReply(ControlStatus::Done));
+    enqueueCommand(std::move(command), respond, [this, id] {
+        // A cancellation may have been committed first.
+        return m_state.find(id) ? makeReply(ControlStatus::Done) : makeReply(ControlStatus::NotReady, cancelledBefore);
+    });
 }
 
 void WorkflowHost::handle(const StatusCall& call, const Respond& respond)
@@ -185,7 +193,7 @@
     }
     const WorkflowId id(target.remainingPath);
     const WorkflowRecord* record = m_state.find(id);
-    if (!record || !m_state.table().mayAccess(*target.queue, organisation, *ownerOf(id)))
+    if (!record || !m_state.table().mayAccess(target.queue->name, organisation, *ownerOf(id)))
         return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
     reply.phase = record->phase;
     reply.hasStarted = record->hasStarted;
@@ -199,19 +207,50 @@
         return respond(caller.error());
     const auto& [target, organisation] = *caller;
     const WorkflowId id(target.remainingPath);
-    const auto owner = ownerOf(id);
-    if (owner && !m_state.table().mayAccess(*target.queue, organisation, *owner))
-        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
-    const WorkflowRecord* existing = m_state.find(id);
-    if (!owner) {
-        if (isWorkflowId(id.value()))
-            m_scheduler.onUnknownWorkflowCancelled(id, organisation, steadyNow());
+    if (!isWorkflowId(id.value()))
         return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
+    const EarlyCancellation::Key key { .id = id, .organisation = organisation };
+    const WorkflowRecord* existing = findFor(key, target.queue->name);
+    // Also while an acceptance is being committed, since that may fail.
+    if (!existing)
+        return cancelUnknown(key, target.queue->name, respond);
+    if (!existing->isActive()) {
+        if (m_scheduler.keepEndedWorkflow(id, steadyNow()))
+            return respond(makeReply(ControlStatus::Done));
+        // The record will be gone when this command is applied.
+        return cancelUnknown(key, target.queue->name, respond);
     }
-    if (existing && !existing->isActive())
-        return respond(makeReply(ControlStatus::Done));
     m_log.onCancelled(id);
-    enqueueCommand(CancelWorkflow { .id = id }, respond, makeReply(ControlStatus::Done));
+    enqueueCommand(CancelWorkflow { .id = id }, respond, [this] { return makeReply(ControlStatus::Done); });
+}
+
+const WorkflowRecord* WorkflowHost::findFor(const EarlyCancellation::Key& key, const QueueName& queue) const
+{
+    const WorkflowRecord* record = m_state.find(key.id);
+    const bool isAccessible = record
+        && m_state.table().mayAccess(
+            queue, key.organisation, { .queue = record->queue, .organisation = record->organisation });
+    return isAccessible ? record : nullptr;
+}
+
+void WorkflowHost::cancelUnknown(const EarlyCancellation::Key& key, const QueueName& queue, const Respond& respond)
+{
+    if (m_scheduler.keepEarlyCancellation(key, steadyNow()))
+        return respond(makeReply(ControlStatus::NoSuchWorkflow, "no such workflow"));
+    CancelUnknownWorkflow command { .id = key.id, .queue = queue, .organisation = key.organisation };
+    enqueueCommand(std::move(command), respond, [this, key, queue] {
+        if (findFor(key, queue)) {
+            m_log.onCancelled(key.id);
+            return makeReply(ControlStatus::Done);
+        }
+        const bool isRecorded = m_state.earlyCancellations().contains(key);
+        m_log.onUnknownCancelled(key, isRecorded);
+        if (isRecorded)
+            return makeReply(ControlStatus::NoSuchWorkflow, "no such workflow");
+        auto reply = makeReply(ControlStatus::Refused, "too many cancellations of unknown workflows are recorded");
+        reply.retryAfter = fullRecordsRetryDelay;
+        return reply;
+    });
 }
 
 void WorkflowHost::handle(const ReplaceTableCall& call, const Respond& respond)
@@ -226,7 +265,7 @@
     EventLog::write(EventLevel::Info, Event::TableChanged, "committing a new queue table",
         { { "version", std::to_string(call.table.version) }, { "queues", std::to_string(call.table.queues.size()) } });
     m_scheduler.onTableProposed(call.table);
-    enqueueCommand(ReplaceTable { .table = call.table }, respond, makeReply(ControlStatus::Done));
+    enqueueCommand(ReplaceTable { .table = call.table }, respond, [this] { return makeReply(ControlStatus::Done); });
 }
 
 void WorkflowHost::handle(const ReadTableCall&, const Respond& respond)
@@ -251,7 +290,7 @@
     // The report is acknowledged only once it is committed, so that later leaders know it too.
     if (m_scheduler.isRecorded(call.report))
         return respond(makeReply(ControlStatus::Done));
-    m_pendingReplies.push_back({ respond, makeReply(ControlStatus::Done) });
+    m_pendingReplies.push_back({ respond, [this] { return makeReply(ControlStatus::Done); } });
     scheduleCycle(batchDelay());
 }
 
--- a/src/core/Events.cpp
+++ b/src/core/Events.cpp
@@ -8,7 +8,8 @@
 
 constexpr auto catalogue = std::to_array<EventDescription>({
     { Event::HostStarted, "HostStarted", "the host listens and takes part in the cell" },
-    { Event::HostStopping, "HostStopping", "a planned stop has begun" },
+    { Event::HostStopping, "HostStopping",
+        "a planned stop has begun, or the process ends because it stood still for too long" },
     { Event::HostStopped, "HostStopped", "every request in progress has ended and the process exits" },
     { Event::SettingsRejected, "SettingsRejected",
         "a setting is unknown, missing or out of range; the process exits with code 2" },
--- a/src/workflow/EarlyCancellations.cpp
+++ b/src/workflow/EarlyCancellations.cpp
@@ -1,51 +1,74 @@
 #include "workflow/EarlyCancellations.h"
 
-namespace hickoryknot::workflow {
-
-namespace {
+#include <algorithm>
 
-/// A submission that arrives later than this after its cancellation is taken for a new one. Hosts stand still for
-/// seconds.
-constexpr Duration retention = 15s;
-/// Bounds the memory to a few megabytes.
-constexpr size_t maxEntries = 20'000;
+#include "workflow/OrganisationIndex.h"
+#include "workflow/QueueTable.h"
 
-} // namespace
+namespace hickoryknot::workflow {
 
-void EarlyCancellations::clear()
+// Organisations of the table count whether or not they use their part, and those that were removed from it count while
+// they have entries. Callers without a key count as one organisation.
+size_t EarlyCancellations::shareOf(const OrganisationName& organisation, const QueueTable& table) const
 {
-    m_cancelledAt.clear();
-    m_order.clear();
+    const OrganisationIndex index(table.organisations);
+    const auto isInTable = [&](const OrganisationName& name) { return index.find(name) != OrganisationIndex::none; };
+    size_t organisations = table.organisations.size() + (isInTable(organisation) ? 0 : 1);
+    for (const auto& [name, count] : m_countByOrganisation)
+        organisations += name != organisation && !isInTable(name) ? 1 : 0;
+    return std::max<size_t>(1, capacity / organisations);
 }
 
-void EarlyCancellations::add(const WorkflowId& id, const OrganisationName& caller, TimePoint now)
+bool EarlyCancellations::add(const EarlyCancellation& entry, const QueueTable& table)
 {
-    const Key key(id, caller);
-    m_cancelledAt.insert_or_assign(key, now);
-    m_order.emplace_back(now, key);
-    if (m_order.size() > maxEntries)
-        removeOldest();
+    if (contains(entry.key))
+        return true;
+    const auto known = m_countByOrganisation.find(entry.key.organisation);
+    const size_t count = known == m_countByOrganisation.end() ? 0 : known->second;
+    // Far below its part, the number of organisations needs no exact count.
+    const size_t mostOrganisations = table.organisations.size() + m_countByOrganisation.size() + 1;
+    if (count >= capacity / mostOrganisations && count >= shareOf(entry.key.organisation, table))
+        return false;
+    m_entries.insert(entry);
+    ++m_countByOrganisation[entry.key.organisation];
+    return true;
 }
 
-bool EarlyCancellations::contains(const WorkflowId& id, const OrganisationName& caller, TimePoint now) const
+void EarlyCancellations::remove(const std::vector<Key>& keys)
 {
-    const auto found = m_cancelledAt.find(Key(id, caller));
-    return found != m_cancelledAt.end() && now - found->second < retention;
+    for (const auto& key : keys) {
+        const auto entry = m_entries.find(key);
+        if (entry == m_entries.end())
+            continue;
+        m_entries.erase(entry);
+        const auto count = m_countByOrganisation.find(key.organisation);
+        if (!--count->second)
+            m_countByOrganisation.erase(count);
+    }
 }
 
-void EarlyCancellations::advance(TimePoint now)
+bool EarlyCancellations::covers(
+    const WorkflowId& id, const OrganisationName& organisation, const QueueName& queue, const QueueTable& table) const
 {
-    while (!m_order.empty() && now - m_order.front().first >= retention)
-        removeOldest();
+    const bool needsNoKey = table.organisations.empty() || organisation.isEmpty();
+    for (auto entry = m_entries.lower_bound(Key { id, {} }); entry != m_entries.end() && entry->key.id == id; ++entry) {
+        const auto& canceller = entry->key.organisation;
+        const bool neededNoKey = entry->isWithoutOrganisations || (canceller.isEmpty() && entry->queue == queue);
+        if (canceller == organisation || neededNoKey || needsNoKey)
+            return true;
+    }
+    return false;
 }
 
-void EarlyCancellations::removeOldest()
+void EarlyCancellations::restore(std::vector<EarlyCancellation> entries)
 {
-    const auto& [at, key] = m_order.front();
-    const auto found = m_cancelledAt.find(key);
-    if (found != m_cancelledAt.end() && found->second == at)
-        m_cancelledAt.erase(found);
-    m_order.pop_front();
+    m_entries.clear();
+    m_countByOrganisation.clear();
+    for (auto& entry : entries) {
+        const auto [added, isNew] = m_entries.insert(std::move(entry));
+        if (isNew)
+            ++m_countByOrganisation[added->key.organisation];
+    }
 }
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/QueueTable.cpp
+++ b/src/workflow/QueueTable.cpp
@@ -130,13 +130,14 @@
     return result;
 }
 
-bool QueueTable::mayAccess(const Queue& calledQueue, const OrganisationName& caller, const WorkflowOwner& owner) const
+bool QueueTable::mayAccess(
+    const QueueName& calledQueue, const OrganisationName& caller, const WorkflowOwner& owner) const
 {
     if (organisations.empty())
         return true;
     if (!caller.isEmpty())
         return owner.organisation.isEmpty() || owner.organisation == caller;
-    if (owner.queue == calledQueue.name)
+    if (owner.queue == calledQueue)
         return true;
     const Queue* queue = find(owner.queue);
     return owner.organisation.isEmpty() && (!queue || queue->isPublic);
--- a/src/workflow/QueueTable.h
+++ b/src/workflow/QueueTable.h
@@ -45,7 +45,7 @@
     /// True if an authorised caller may read, cancel and submit again a workflow: one of its own organisation, or of
     /// none. Callers without a key, by way of a public queue, reach only workflows of public queues, of queues that
     /// were removed, and of that queue itself. Without organisations all callers reach all workflows.
-    bool mayAccess(const Queue& calledQueue, const OrganisationName& caller, const WorkflowOwner&) const;
+    bool mayAccess(const QueueName& calledQueue, const OrganisationName& caller, const WorkflowOwner&) const;
     /// Call it after the last change of `organisations`. WorkflowState does so for the table in force.
     void indexKeys() { keyIndex = KeyIndex(organisations); }
 
--- a/src/workflow/SchedulerSettings.h
+++ b/src/workflow/SchedulerSettings.h
@@ -33,8 +33,12 @@
     Duration gangStopMargin { 1200ms };
     /// Added to the end of a lease before its runs count as lost; covers the rounding to milliseconds.
     Duration leaseMargin { 100ms };
-    /// Retention of ended workflows, longer than the time for which callers may query them.
+    /// Minimum retention of ended workflows, longer than the time for which callers may query them.
     Duration endedWorkflowRetention { 150s };
+    /// Longest time for which a submission can be on its way after its caller has given it up. Ended workflows and
+    /// cancellations of unknown ones are kept for at least this long, so that it finds them. docs/workflows.md, "Late
+    /// submissions", adds up where it can lie.
+    Duration lateSubmissionTime { 300s };
     /// Decisions use run times and worker speeds that are learned from finished runs; see RunTimeModel. If false, they
     /// use the declared estimates, and all workers count as equally fast.
     bool learnsRunTimes { true };
--- a/src/workflow/WorkflowCommand.h
+++ b/src/workflow/WorkflowCommand.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/Error.h"
+#include "workflow/EarlyCancellation.h"
 #include "workflow/QueueTable.h"
 #include "workflow/RunOutcome.h"
 #include "workflow/WorkerProfile.h"
@@ -20,7 +21,8 @@
     QueueTable table;
 };
 
-/// Adds a workflow. Idempotent: does nothing if the id is known.
+/// Adds a workflow. Idempotent: does nothing if the id is known. Does nothing either if the workflow was cancelled
+/// before; see EarlyCancellations.
 struct AcceptWorkflow {
     WorkflowId id;
     QueueName queue;
@@ -35,6 +37,19 @@
     WorkflowId id;
 };
 
+/// Cancels a workflow that the leader does not know. Does the same as CancelWorkflow if it is known by now and the
+/// caller may access it. Otherwise it is recorded, unless the organisation's part of the records is used up.
+struct CancelUnknownWorkflow {
+    WorkflowId id;
+    QueueName queue; // Whose path the caller used.
+    OrganisationName organisation; // The caller's; empty: none.
+};
+
+/// Removes records of cancellations that no submission can follow any more.
+struct RemoveEarlyCancellations {
+    std::vector<EarlyCancellation::Key> keys;
+};
+
 /// Removes the records of ended workflows without placed runs.
 struct RemoveWorkflows {
     std::vector<WorkflowId> ids;
@@ -86,8 +101,9 @@
     std::string summary;
 };
 
-using WorkflowCommand = std::variant<ReplaceTable, AcceptWorkflow, CancelWorkflow, RemoveWorkflows, BeginOccurrence,
-    PlaceRuns, EndRuns, RecordWorkers, RemoveWorkers, RecordStarts, RecordRunTimes>;
+using WorkflowCommand
+    = std::variant<ReplaceTable, AcceptWorkflow, CancelWorkflow, RemoveWorkflows, BeginOccurrence, PlaceRuns, EndRuns,
+        RecordWorkers, RemoveWorkers, RecordStarts, RecordRunTimes, CancelUnknownWorkflow, RemoveEarlyCancellations>;
 
 /// Payload of one log entry: commands that are applied together, in order.
 std::string encodeCommands(const std::vector<WorkflowCommand>&);
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -14,6 +14,8 @@
 constexpr uint64_t organisationsFormat = 4;
 /// First format of snapshots with the summary of the run time model.
 constexpr uint64_t runTimesFormat = 5;
+/// First format of snapshots with cancellations of unknown workflows.
+constexpr uint64_t earlyCancellationsFormat = 6;
 
 // The largest recorded value of each enumeration; larger values are rejected as corrupt.
 constexpr RunOutcome lastValueOf(RunOutcome) { return RunOutcome::WorkerMayHaveCrashed; }
@@ -104,6 +106,14 @@
     if (visit.format() >= organisationsFormat)
         visit(x.organisation);
 }
+template <typename V> void visitFields(V& visit, SameAs<EarlyCancellation::Key> auto& x)
+{
+    visit(x.id, x.organisation);
+}
+template <typename V> void visitFields(V& visit, SameAs<EarlyCancellation> auto& x)
+{
+    visit(x.key, x.queue, x.isWithoutOrganisations);
+}
 
 template <typename V> void visitFields(V& visit, SameAs<ReplaceTable> auto& x) { visit(x.table); }
 template <typename V> void visitFields(V& visit, SameAs<AcceptWorkflow> auto& x)
@@ -113,6 +123,11 @@
         visit(x.organisation);
 }
 template <typename V> void visitFields(V& visit, SameAs<CancelWorkflow> auto& x) { visit(x.id); }
+template <typename V> void visitFields(V& visit, SameAs<CancelUnknownWorkflow> auto& x)
+{
+    visit(x.id, x.queue, x.organisation);
+}
+template <typename V> void visitFields(V& visit, SameAs<RemoveEarlyCancellations> auto& x) { visit(x.keys); }
 template <typename V> void visitFields(V& visit, SameAs<RemoveWorkflows> auto& x) { visit(x.ids); }
 template <typename V> void visitFields(V& visit, SameAs<BeginOccurrence> auto& x) { visit(x.id, x.occurrence); }
 template <typename V> void visitFields(V& visit, SameAs<PlaceRuns::Entry> auto& x) { visit(x.run, x.incarnationIndex); }
--- a/src/workflow/WorkflowListener.h
+++ b/src/workflow/WorkflowListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "workflow/EarlyCancellation.h"
 #include "workflow/WorkflowIds.h"
 
 namespace hickoryknot::workflow {
@@ -10,6 +11,8 @@
     virtual ~WorkflowListener() = default;
     virtual void onWorkflowChanged(const WorkflowId&) = 0;
     virtual void onTableChanged() = 0;
+    /// The cancellation of an unknown workflow was recorded, or a recorded one was repeated.
+    virtual void onEarlyCancellation(const EarlyCancellation::Key&) = 0;
 };
 
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -11,8 +11,8 @@
 
 /// Multiple of the objective after which the result of a workflow has no value.
 constexpr int64_t expiryObjectives = 3;
-/// Maximum number of workflows removed by one command; keeps log entries small.
-constexpr size_t maxRemovedWorkflows = 200;
+/// Maximum number of records removed by one command; keeps log entries small.
+constexpr size_t maxRemovedRecords = 200;
 /// Workers without runs are removed after this time without contact; several times the longest partition.
 constexpr Duration workerRemovalAge = 60s;
 /// Interval between searches for workers to remove; stale ones only use memory.
@@ -63,6 +63,8 @@
     restoreRunTimes(now);
     for (const auto& [id, record] : m_state.workflows())
         m_changedWorkflows.insert(id);
+    for (const auto& entry : m_state.earlyCancellations().entries())
+        m_earlyCancellations.touch(entry.key, now);
     refreshChangedWorkflows(now, wall);
 }
 
@@ -79,12 +81,12 @@
     m_readySteps.clear();
     m_proposedWorkflows.clear();
     m_proposedTable = {};
-    m_earlyCancellations.clear();
     m_pendingByQueue.clear();
     m_timedWorkflows.clear();
     m_nextOccurrenceMs.clear();
     m_endedWorkflows.clear();
-    m_knownEndedIds.clear();
+    m_earlyCancellations.clear();
+    m_newEarlyCancellations.clear();
     m_unrecordedWorkers.clear();
     m_batchesInFlight.clear();
     m_tasksBeingPlaced.clear();
@@ -106,6 +108,34 @@
         m_changedWorkflows.insert(id);
 }
 
+void WorkflowScheduler::onEarlyCancellation(const EarlyCancellation::Key& key)
+{
+    if (m_isLeader)
+        m_newEarlyCancellations.insert(key);
+}
+
+bool WorkflowScheduler::keepEndedWorkflow(const WorkflowId& id, TimePoint now)
+{
+    if (!m_endedWorkflows.contains(id))
+        return false;
+    m_endedWorkflows.touch(id, now);
+    return true;
+}
+
+bool WorkflowScheduler::keepEarlyCancellation(const EarlyCancellation::Key& key, TimePoint now)
+{
+    if (!m_earlyCancellations.contains(key))
+        return false;
+    m_earlyCancellations.touch(key, now);
+    return true;
+}
+
+bool WorkflowScheduler::wasCancelledEarly(
+    const WorkflowId& id, const OrganisationName& caller, const QueueName& queue) const
+{
+    return m_state.earlyCancellations().covers(id, caller, queue, m_state.table());
+}
+
 void WorkflowScheduler::onAcceptanceProposed(const AcceptWorkflow& command, TimePoint now)
 {
     const Queue* queue = m_state.table().find(command.queue);
@@ -228,7 +258,6 @@
     Output output;
     if (!m_isLeader)
         return output;
-    m_earlyCancellations.advance(now);
     refreshChangedWorkflows(now, wall);
     m_runController.advance(now, output.requests);
     for (const auto& moved : m_runController.drainMovedRuns())
@@ -254,6 +283,7 @@
     recordWorkers(output.commands);
     removeStaleWorkers(output.commands, now);
     removeEndedWorkflows(output.commands, now);
+    removeEarlyCancellations(output.commands, now);
     refreshSpeeds(now);
     if (m_batchesInFlight.size() < maxBatchesInFlight)
         placeReadySteps(output, batch, now);
@@ -342,8 +372,8 @@
         if (const auto known = m_trackedWorkflows.find(id); record && known != m_trackedWorkflows.end())
             m_observer.onWorkflowEnded(*record, now - known->second.acceptedAt);
         untrack(id);
-        if (record && m_knownEndedIds.insert(id).second)
-            m_endedWorkflows.emplace_back(now, id);
+        if (record && !m_endedWorkflows.contains(id))
+            m_endedWorkflows.touch(id, now);
         if (record && record->placed && record->phase != WorkflowPhase::Completed)
             stopPlacedRuns(*record, now);
         return;
@@ -539,17 +569,23 @@
         commands.emplace_back(std::move(command));
 }
 
+// The record of an ended workflow keeps a late submission of the same id from running it again.
 void WorkflowScheduler::removeEndedWorkflows(std::vector<WorkflowCommand>& commands, TimePoint now)
 {
-    RemoveWorkflows command;
-    while (!m_endedWorkflows.empty() && now - m_endedWorkflows.front().first > m_settings.endedWorkflowRetention
-        && command.ids.size() < maxRemovedWorkflows) {
-        command.ids.push_back(m_endedWorkflows.front().second);
-        m_knownEndedIds.erase(m_endedWorkflows.front().second);
-        m_endedWorkflows.pop_front();
-    }
+    const Duration retention = std::max(m_settings.endedWorkflowRetention, m_settings.lateSubmissionTime);
+    RemoveWorkflows command { .ids = m_endedWorkflows.takeExpired(now, retention, maxRemovedRecords) };
     if (!command.ids.empty())
         commands.emplace_back(std::move(command));
 }
 
+void WorkflowScheduler::removeEarlyCancellations(std::vector<WorkflowCommand>& commands, TimePoint now)
+{
+    for (const auto& key : std::exchange(m_newEarlyCancellations, {}))
+        m_earlyCancellations.touch(key, now);
+    RemoveEarlyCancellations command { .keys
+        = m_earlyCancellations.takeExpired(now, m_settings.lateSubmissionTime, maxRemovedRecords) };
+    if (!command.keys.empty())
+        commands.emplace_back(std::move(command));
+}
+
 } // namespace hickoryknot::workflow
--- a/src/workflow/WorkflowScheduler.h
+++ b/src/workflow/WorkflowScheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -8,10 +7,10 @@
 #include <vector>
 
 #include "workflow/AdmissionController.h"
-#include "workflow/EarlyCancellations.h"
 #include "workflow/OrganisationAdmission.h"
 #include "workflow/OrganisationStatus.h"
 #include "workflow/Planner.h"
+#include "workflow/RetentionQueue.h"
 #include "workflow/RunController.h"
 #include "workflow/RunTimeModel.h"
 #include "workflow/WorkflowListener.h"
@@ -69,17 +68,12 @@
     /// The acceptance of a workflow is about to be proposed; requests for its first steps may be prepared meanwhile.
     void onAcceptanceProposed(const AcceptWorkflow&, TimePoint now);
 
-    /// A caller has cancelled a workflow that is neither known nor about to be.
-    void onUnknownWorkflowCancelled(const WorkflowId& id, const OrganisationName& caller, TimePoint now)
-    {
-        m_earlyCancellations.add(id, caller, now);
-    }
-    /// True if a submission must be rejected, because its caller has cancelled it meanwhile. Known to this leadership
-    /// only.
-    bool wasCancelledEarly(const WorkflowId& id, const OrganisationName& caller, TimePoint now) const
-    {
-        return m_earlyCancellations.contains(id, caller, now);
-    }
+    // A caller has cancelled a workflow again that has ended, or that was cancelled before it was known. Its record,
+    // which rejects late submissions, is kept for as long again. False if there is none or it is about to be removed.
+    bool keepEndedWorkflow(const WorkflowId&, TimePoint now);
+    bool keepEarlyCancellation(const EarlyCancellation::Key&, TimePoint now);
+    /// True if a submission must be rejected because its caller has cancelled it before; see EarlyCancellations.
+    bool wasCancelledEarly(const WorkflowId&, const OrganisationName&, const QueueName&) const;
 
     /// A table is about to be proposed. Until it is applied, the queues that it removes accept no more workflows: their
     /// acceptances might be committed after the removal, when their queue is no longer known.
@@ -140,6 +134,7 @@
 
     void onWorkflowChanged(const WorkflowId&) override;
     void onTableChanged() override;
+    void onEarlyCancellation(const EarlyCancellation::Key&) override;
 
     void refreshChangedWorkflows(TimePoint now, WallTime wall);
     void refreshWorkflow(const WorkflowId&, TimePoint now, WallTime wall);
@@ -156,6 +151,7 @@
     void recordStarts(std::vector<WorkflowCommand>&, TimePoint now);
     void removeStaleWorkers(std::vector<WorkflowCommand>&, TimePoint now);
     void removeEndedWorkflows(std::vector<WorkflowCommand>&, TimePoint now);
+    void removeEarlyCancellations(std::vector<WorkflowCommand>&, TimePoint now);
     AdmissionController::Load waitingLoad(TimePoint now) const;
     /// Why the organisation's limit or share delays the waiting tasks; empty if neither does.
     std::string explainOrganisation(const WorkflowRecord&, const Queue&, const StepSpec&, uint32_t waitingTasks) const;
@@ -186,7 +182,6 @@
     Planner m_planner;
     AdmissionController m_admissionController;
     OrganisationAdmission m_organisationAdmission { m_admissionController };
-    EarlyCancellations m_earlyCancellations;
     RunTimeModel m_runTimeModel;
     std::optional<Error> m_runTimeSummaryError;
     /// Run number of the latest sample of each gang of an active workflow.
@@ -204,9 +199,11 @@
     /// Timed workflows by wall-clock time of the next occurrence in milliseconds.
     std::set<std::pair<int64_t, WorkflowId>> m_timedWorkflows;
     std::map<WorkflowId, int64_t> m_nextOccurrenceMs;
-    /// Ended workflows in the order in which their ends were detected.
-    std::deque<std::pair<TimePoint, WorkflowId>> m_endedWorkflows;
-    std::set<WorkflowId> m_knownEndedIds;
+    // Recorded decisions that are kept for a time. Their time starts anew with each leadership, which knows only that
+    // they are recorded, so that it is never cut short.
+    RetentionQueue<WorkflowId> m_endedWorkflows;
+    RetentionQueue<EarlyCancellation::Key> m_earlyCancellations;
+    std::set<EarlyCancellation::Key> m_newEarlyCancellations; // Since the last call of advance().
 
     std::set<WorkerId> m_unrecordedWorkers;
     std::map<uint64_t, Batch> m_batchesInFlight;
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -14,7 +14,7 @@
 
 // Incremented when the snapshot layout changes; older formats from oldestSnapshotFormat on are still read.
 constexpr uint64_t removedQueuesFormat = 3;
-constexpr uint64_t snapshotFormat = runTimesFormat;
+constexpr uint64_t snapshotFormat = earlyCancellationsFormat;
 constexpr uint64_t oldestSnapshotFormat = 1;
 
 /// Workers that may crash under one task before its workflow fails. The first crash may have any cause, and the second
@@ -58,7 +58,7 @@
     writer(static_cast<uint64_t>(m_data.workers.size()));
     for (const auto& [id, profile] : m_data.workers)
         writer(profile);
-    writer(m_data.runTimeSummary);
+    writer(m_data.runTimeSummary, m_data.earlyCancellations.entries());
     return writer.finish();
 }
 
@@ -99,6 +99,10 @@
     }
     if (format >= runTimesFormat)
         reader(data.runTimeSummary);
+    std::vector<EarlyCancellation> earlyCancellations;
+    if (format >= earlyCancellationsFormat)
+        reader(earlyCancellations);
+    data.earlyCancellations.restore(std::move(earlyCancellations));
     // Rejects runs with an index outside of the incarnation table.
     for (const auto& [id, record] : data.workflows) {
         for (const auto& occurrence : record.occurrences) {
@@ -187,6 +191,10 @@
 
 void WorkflowState::applyCommand(const AcceptWorkflow& command)
 {
+    // The acceptance may have been proposed while the cancellation was being committed.
+    if (m_data.earlyCancellations.covers(command.id, command.organisation, command.queue, m_data.table)
+        && !find(command.id))
+        return notifyChanged(command.id);
     const auto [known, isNew] = m_data.workflows.try_emplace(command.id);
     if (!isNew)
         return;
@@ -213,6 +221,26 @@
     notifyChanged(command.id);
 }
 
+void WorkflowState::applyCommand(const CancelUnknownWorkflow& command)
+{
+    const WorkflowRecord* record = find(command.id);
+    const bool isKnown = record
+        && m_data.table.mayAccess(
+            command.queue, command.organisation, { .queue = record->queue, .organisation = record->organisation });
+    if (isKnown)
+        return applyCommand(CancelWorkflow { command.id });
+    const EarlyCancellation entry { .key = { command.id, command.organisation },
+        .queue = command.queue,
+        .isWithoutOrganisations = m_data.table.organisations.empty() };
+    if (m_data.earlyCancellations.add(entry, m_data.table) && m_listener)
+        m_listener->onEarlyCancellation(entry.key);
+}
+
+void WorkflowState::applyCommand(const RemoveEarlyCancellations& command)
+{
+    m_data.earlyCancellations.remove(command.keys);
+}
+
 void WorkflowState::applyCommand(const RemoveWorkflows& command)
 {
     for (const auto& id : command.ids) {
--- a/src/workflow/WorkflowState.h
+++ b/src/workflow/WorkflowState.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "consensus/StateMachine.h"
+#include "workflow/EarlyCancellations.h"
 #include "workflow/QueueTable.h"
 #include "workflow/WorkerProfile.h"
 #include "workflow/WorkflowCommand.h"
@@ -41,6 +42,9 @@
     /// Known workers with their latest incarnation.
     const std::map<WorkerId, WorkerProfile>& workers() const { return m_data.workers; }
 
+    /// Cancellations of workflows that were not known.
+    const EarlyCancellations& earlyCancellations() const { return m_data.earlyCancellations; }
+
     /// Latest recorded summary of the run time model; empty if there is none.
     const std::string& runTimeSummary() const { return m_data.runTimeSummary; }
 
@@ -66,6 +70,7 @@
         std::vector<IncarnationEntry> incarnations;
         std::map<WorkerId, WorkerProfile> workers;
         std::string runTimeSummary;
+        EarlyCancellations earlyCancellations;
     };
 
     void applyCommand(const ReplaceTable&);
@@ -79,6 +84,8 @@
     void applyCommand(const RemoveWorkers&);
     void applyCommand(const RecordStarts&);
     void applyCommand(const RecordRunTimes&);
+    void applyCommand(const CancelUnknownWorkflow&);
+    void applyCommand(const RemoveEarlyCancellations&);
 
     void keepQueuesInUse(const QueueTable& next);
     static void beginOccurrences(WorkflowRecord&, uint32_t upTo);
--- a/tests/control/WorkflowHostTest.cpp
+++ b/tests/control/WorkflowHostTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(keysChangeWithTheTable);
     CPPUNIT_TEST(workflowIsHiddenFromOtherOrganisations);
     CPPUNIT_TEST(workflowOfAPublicQueueBelongsToNobody);
+    CPPUNIT_TEST(cancellationThatOvertakesTheSubmissionOutlivesARestart);
+    CPPUNIT_TEST(submissionBesideItsCancellationIsRejectedOrCancelled);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_io;
@@ -169,6 +171,35 @@
         expect("done", submit(second, "unknown", "open"));
         expect("done", cancel(second, "b1"));
     }
+
+    // Guards against a workflow that runs although its cancellation was acknowledged: the submission came after it, and
+    // a new leader did not know the cancellation.
+    void cancellationThatOvertakesTheSubmissionOutlivesARestart()
+    {
+        expect("noSuchWorkflow", cancel(second, "a1"));
+        for (int i = 0; i < 2; ++i) {
+            expect("notReady", submit(second, "a1"));
+            expect("noSuchWorkflow", status(second, "a1"));
+            open();
+        }
+        CPPUNIT_ASSERT(!m_host->state().find(second));
+        // Nobody can prevent another organisation's submission by cancelling its id first.
+        expect("done", submit(second, "b1"));
+    }
+
+    // Guards against a submission that is acknowledged and runs although it was sent while its cancellation was being
+    // committed.
+    void submissionBesideItsCancellationIsRejectedOrCancelled()
+    {
+        std::optional<ControlReply> cancelled;
+        std::optional<ControlReply> submitted;
+        m_host->serve(cancel(second, "a1"), [&](ControlReply result) { cancelled = std::move(result); });
+        m_host->serve(submit(second, "a2"), [&](ControlReply result) { submitted = std::move(result); });
+        runUntil([&] { return cancelled && submitted; });
+        CPPUNIT_ASSERT_EQUAL(std::string("noSuchWorkflow"), std::string(controlStatusName(cancelled->status)));
+        CPPUNIT_ASSERT_EQUAL(std::string("notReady"), std::string(controlStatusName(submitted->status)));
+        CPPUNIT_ASSERT(!m_host->state().find(second));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkflowHostTest);
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(longRunningTasksAreNeverDone);
     CPPUNIT_TEST(longRunningTaskIsNotGivenUpForCrashes);
     CPPUNIT_TEST(cancelledWorkflowStartsNothing);
+    CPPUNIT_TEST(cancellationOfAnUnknownWorkflowOutlivesASnapshot);
+    CPPUNIT_TEST(cancellationOfAnUnknownWorkflowThatIsKnownByNowCancelsIt);
     CPPUNIT_TEST(occurrencesFinishOneByOne);
     CPPUNIT_TEST(olderIncarnationDoesNotReplaceANewerOne);
     CPPUNIT_TEST(workflowHasStartedOnceAWorkerHasExecutedAStart);
@@ -480,6 +482,47 @@
         CPPUNIT_ASSERT(record().find({ { samples::firstId, 0, 0 }, 0 })->isSuspect());
     }
 
+    CancelUnknownWorkflow cancelUnknown(const WorkflowId& id, const char* organisation = "")
+    {
+        return { .id = id, .queue = QueueName("q"), .organisation = OrganisationName(organisation) };
+    }
+
+    // Guards against a cancelled workflow that runs once a host has restored a snapshot instead of replaying the log,
+    // and against a snapshot that makes room for others.
+    void cancellationOfAnUnknownWorkflowOutlivesASnapshot()
+    {
+        apply({ ReplaceTable { samples::table(3) }, cancelUnknown(samples::firstId) });
+        WorkflowState other;
+        CPPUNIT_ASSERT(other.restore(m_state.snapshot()));
+        CPPUNIT_ASSERT_EQUAL(m_state.digest(), other.digest());
+        const auto accept = samples::accept(samples::firstId, { samples::step(1) });
+        other.apply(1, encodeCommands({ accept }));
+        CPPUNIT_ASSERT(!other.find(samples::firstId));
+        other.apply(1, encodeCommands({ RemoveEarlyCancellations { { { samples::firstId, {} } } }, accept }));
+        CPPUNIT_ASSERT(other.find(samples::firstId));
+    }
+
+    // Guards against an acknowledged cancellation without effect: the acceptance was committed between the decision of
+    // the leader, who did not know the workflow, and the commit of the cancellation.
+    void cancellationOfAnUnknownWorkflowThatIsKnownByNowCancelsIt()
+    {
+        apply({ ReplaceTable { samples::table(3) }, samples::accept(samples::firstId, { samples::step(1) }),
+            cancelUnknown(samples::firstId) });
+        CPPUNIT_ASSERT(record().phase == WorkflowPhase::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, m_state.earlyCancellations().size());
+        // Another organisation's workflow stays, and the caller's own submission of this id is not accepted later.
+        QueueTable table = samples::table(4);
+        table.organisations = { { .name = OrganisationName("a") }, { .name = OrganisationName("b") } };
+        auto accept = samples::accept(samples::secondId, { samples::step(1) });
+        accept.organisation = OrganisationName("a");
+        apply({ ReplaceTable { table }, accept, cancelUnknown(samples::secondId, "b") });
+        CPPUNIT_ASSERT(m_state.find(samples::secondId)->isActive());
+        apply({ CancelWorkflow { samples::secondId }, RemoveWorkflows { { samples::secondId } } });
+        accept.organisation = OrganisationName("b");
+        apply({ accept });
+        CPPUNIT_ASSERT(!m_state.find(samples::secondId));
+    }
+
     // Guards against starts that are committed after the cancellation.
     void cancelledWorkflowStartsNothing()
     {
