Keep the order of a worker's reports over a change of leader

Found while reading what else rests on the memory of one leader. A worker that had been told that its leave-taking is known could get work again: one of its earlier reports lay at a paused control host and reached the next leader, who took it for the newest one.

Cause: the state of the worker was recorded, but not the number of the report that it came from. Evidence: the new test olderReportDoesNotReturnALeavingWorkerToTheNextLeader; on the code before, the new leader started a task on the worker.

Change: the recorded profile has the number of the report since which the worker has been like this, and a new leader counts on from there. Reports that change nothing still need no log entry.

--- a/src/workflow/WorkerTracker.cpp
+++ b/src/workflow/WorkerTracker.cpp
@@ -110,8 +110,11 @@
     const bool isNew = !worker.isProfileKnown;
     if (!isNew && report.sequence <= worker.sequence)
         return ReportResult::Stale;
-    const bool isChanged = isNew || !(worker.profile == report.profile);
-    worker.profile = report.profile;
+    const bool isChanged = isNew || !worker.profile.isLike(report.profile);
+    if (isChanged) {
+        worker.profile = report.profile;
+        worker.profile.sinceReport = report.sequence;
+    }
     worker.isProfileKnown = true;
     worker.sequence = report.sequence;
     worker.lastContactAt = now;
@@ -133,6 +136,7 @@
 {
     TrackedWorker& worker = findOrAdd(profile.incarnation);
     worker.profile = profile;
+    worker.sequence = profile.sinceReport;
     worker.isProfileKnown = true;
     if (!isSuperseded(profile.incarnation))
         setLatest(profile.incarnation);
--- a/src/workflow/WorkflowCommand.cpp
+++ b/src/workflow/WorkflowCommand.cpp
@@ -11,7 +11,7 @@
     writer(static_cast<uint64_t>(commands.size()));
     for (const auto& command : commands)
         writer(encodeVariant(command));
-    writer(organisationsFormat);
+    writer(reportNumbersFormat);
     return writer.finish();
 }
 
--- a/src/workflow/WorkflowFields.h
+++ b/src/workflow/WorkflowFields.h
@@ -16,6 +16,8 @@
 constexpr uint64_t runTimesFormat = 5;
 /// First format of snapshots with cancellations of unknown workflows.
 constexpr uint64_t earlyCancellationsFormat = 6;
+/// First format of snapshots and log entries with the number of the report that a worker's profile comes from.
+constexpr uint64_t reportNumbersFormat = 7;
 
 // The largest recorded value of each enumeration; larger values are rejected as corrupt.
 constexpr RunOutcome lastValueOf(RunOutcome) { return RunOutcome::WorkerMayHaveCrashed; }
@@ -80,6 +82,8 @@
 template <typename V> void visitFields(V& visit, SameAs<WorkerProfile> auto& x)
 {
     visit(x.incarnation, x.pool, x.zone, x.rack, x.labels, x.capacity, x.isDraining);
+    if (visit.format() >= reportNumbersFormat)
+        visit(x.sinceReport);
 }
 template <typename V> void visitFields(V& visit, SameAs<TaskRecord> auto& x)
 {
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -211,7 +211,7 @@
 bool WorkflowScheduler::isRecorded(const WorkerReport& report) const
 {
     const auto known = m_state.workers().find(report.profile.incarnation.worker);
-    return (known != m_state.workers().end() && known->second == report.profile)
+    return (known != m_state.workers().end() && known->second.isLike(report.profile))
         || m_workerTracker.isSuperseded(report.profile.incarnation);
 }
 
--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -14,7 +14,7 @@
 
 // Incremented when the snapshot layout changes; older formats from oldestSnapshotFormat on are still read.
 constexpr uint64_t removedQueuesFormat = 3;
-constexpr uint64_t snapshotFormat = earlyCancellationsFormat;
+constexpr uint64_t snapshotFormat = reportNumbersFormat;
 constexpr uint64_t oldestSnapshotFormat = 1;
 
 /// Workers that may crash under one task before its workflow fails. The first crash may have any cause, and the second
--- a/tests/workflow/WorkflowSchedulerTest.cpp
+++ b/tests/workflow/WorkflowSchedulerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(workersOfARemovedPoolStillReport);
     CPPUNIT_TEST(cancellationThatOvertakesTheSubmissionHolds);
     CPPUNIT_TEST(cancellationOfAnEndedWorkflowKeepsItsRecord);
+    CPPUNIT_TEST(olderReportDoesNotReturnALeavingWorkerToTheNextLeader);
     CPPUNIT_TEST(workOfARemovedQueueStillAsksForPermission);
     CPPUNIT_TEST(workOfARemovedQueueAsksForPermissionAfterALeaderChange);
     CPPUNIT_TEST(workOfARemovedQueueKeepsItsPriority);
@@ -54,19 +55,26 @@
         reportWorker();
     }
 
+    static WorkerReport report(uint64_t sequence, bool isDraining = false)
+    {
+        WorkerReport result;
+        result.profile = samples::profile("w");
+        result.profile.isDraining = isDraining;
+        result.sequence = sequence;
+        result.clock = 1000;
+        return result;
+    }
+
     // Makes the worker usable.
-    void reportWorker()
+    void reportWorker(const WorkerReport& report)
     {
-        WorkerReport report;
-        report.profile = samples::profile("w");
-        report.sequence = 1;
-        report.clock = 1000;
         m_scheduler.onWorkerReport(report, m_now);
         const auto polls = advance().polls;
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, polls.size());
         m_scheduler.onPollResponse(
             polls.front(), PollResponse { .clock = 1000, .startTimeMs = 1, .running = {}, .ended = {} }, m_now, m_now);
     }
+    void reportWorker() { reportWorker(report(1)); }
 
     // Starts a leadership with one accepted workflow, and returns the start of its only task.
     StartRunRequest placeTask()
@@ -267,6 +275,28 @@
         CPPUNIT_ASSERT(!m_scheduler.keepEndedWorkflow(samples::firstId, m_now));
     }
 
+    // Guards against starts on a worker that was told that its leave-taking is known: one of its earlier reports lay at
+    // a host that was paused, and reached the next leader, who did not know that it was older.
+    void olderReportDoesNotReturnALeavingWorkerToTheNextLeader()
+    {
+        begin(samples::table());
+        m_scheduler.onWorkerReport(report(5, true), m_now);
+        advance();
+        CPPUNIT_ASSERT(m_scheduler.isRecorded(report(5, true)));
+        // A later report that changes nothing needs no record.
+        CPPUNIT_ASSERT(m_scheduler.isRecorded(report(6, true)));
+        apply({ samples::accept(samples::firstId, { samples::step(1) }) });
+        m_scheduler.becomeLeader(2, m_now, epoch);
+        reportWorker(report(4));
+        CPPUNIT_ASSERT(advance().starts.empty() && advance().starts.empty());
+        CPPUNIT_ASSERT(m_state.workers().begin()->second.isDraining);
+        // One that stays after all says so with a later report.
+        m_scheduler.onWorkerReport(report(7), m_now);
+        advance();
+        CPPUNIT_ASSERT(!m_state.workers().begin()->second.isDraining);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, advance().starts.size());
+    }
+
     // The table in which another queue has the place of "q".
     static QueueTable tableWithReplacedQueue(const QueueTable& table)
     {
