Keep the learned run time of a step of which the organisation's limit lets a part start

Wide steps start in parts where their organisation has a limit. The copy of the step for such a part left out the learned run time, so their runs were expected to end by the caller's estimate, which is off by a factor of 2.5 on some deployments: reservations and the use of reserved capacity went by it. The new test partOfAStepKeepsItsLearnedRunTime failed before.

Change: the copy has all members; it copies tasks that are then dropped, 8 bytes each.

--- a/src/workflow/PlannerOrganisations.cpp
+++ b/src/workflow/PlannerOrganisations.cpp
@@ -32,22 +32,11 @@
     return step.isAccepted && step.spec->isGang && now > step.latestStart() - limitClaimWindow;
 }
 
-// Without the tasks beyond the first `count`, which may be many.
 ReadyStep withFirstTasks(const ReadyStep& step, size_t count)
 {
-    return { .ref = step.ref,
-        .spec = step.spec,
-        .organisation = step.organisation,
-        .organisationPosition = step.organisationPosition,
-        .queue = step.queue,
-        .tasks = { step.tasks.begin(), step.tasks.begin() + static_cast<std::ptrdiff_t>(count) },
-        .isAccepted = step.isAccepted,
-        .isSuspect = step.isSuspect,
-        .deadline = step.deadline,
-        .expiresAt = step.expiresAt,
-        .criticalPath = step.criticalPath,
-        .readySince = step.readySince,
-        .avoidedWorkers = step.avoidedWorkers };
+    ReadyStep part = step;
+    part.tasks.resize(count);
+    return part;
 }
 
 } // namespace
--- a/tests/workflow/OrganisationLimitsTest.cpp
+++ b/tests/workflow/OrganisationLimitsTest.cpp
@@ -12,6 +12,7 @@
 class OrganisationLimitsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OrganisationLimitsTest);
     CPPUNIT_TEST(tasksStartUpToTheLimitOfEachResource);
+    CPPUNIT_TEST(partOfAStepKeepsItsLearnedRunTime);
     CPPUNIT_TEST(usageCountsFullSizes);
     CPPUNIT_TEST(loweredLimitStartsNothing);
     CPPUNIT_TEST(heldBackWorkTakesNothingFromOthers);
@@ -105,6 +106,20 @@
         return spec;
     }
 
+    // Guards against wide steps whose runs are expected to end by the caller's estimate: the limit of the organisation
+    // lets them start in parts, and the parts did not have the learned run time.
+    void partOfAStepKeepsItsLearnedRunTime()
+    {
+        addWorkers(2);
+        addOrganisation("a", cores(3));
+        ReadyStep& wide = addStep("a", samples::step(8));
+        wide.learnedRunTime = 250ms;
+        const auto decisions = plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 3 }, decisions.placements.size());
+        for (const auto& placement : decisions.placements)
+            CPPUNIT_ASSERT(placement.learnedRunTime == Duration(250ms));
+    }
+
     // Guards against an organisation above its limit: by several tasks in one pass, by several steps, or by a resource
     // other than processors.
     void tasksStartUpToTheLimitOfEachResource()
