--- a/tests/processes/ProcessCell.cpp
+++ b/tests/processes/ProcessCell.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <thread>
 
 #include "app/ApiClient.h"
@@ -161,6 +162,28 @@
     return found != m_processes.end() && !found->second->exitCode();
 }
 
+std::string ProcessCell::describeProcesses()
+{
+    std::string text;
+    for (const auto& [name, process] : m_processes) {
+        if (const auto code = process->exitCode())
+            text += "\n" + name + " has ended with code " + std::to_string(*code);
+    }
+    for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
+        if (file.path().extension() != ".log")
+            continue;
+        std::ifstream log(file.path());
+        std::string lastError;
+        for (std::string line; std::getline(log, line);) {
+            if (line.find("[error]") != std::string::npos || line.find("[critical]") != std::string::npos)
+                lastError = line;
+        }
+        if (!lastError.empty())
+            text += "\n" + file.path().filename().string() + ": " + lastError;
+    }
+    return text;
+}
+
 void ProcessCell::killWorkers(const std::string& zone) { m_processes.erase("worker " + zone); }
 
 void ProcessCell::signalWorkers(const std::string& zone, int number)
--- a/tests/processes/ProcessScenario.cpp
+++ b/tests/processes/ProcessScenario.cpp
@@ -153,7 +153,7 @@
     m_cell = std::make_unique<ProcessCell>(counts[0], counts[1], counts[2], flags[0], flags[1]);
     m_cell->startAll();
     if (!waitFor([&] { return isReady(); }))
-        return "the cell did not become ready";
+        return "the cell did not become ready" + m_cell->describeProcesses();
     return std::nullopt;
 }
 
