Finish begun workflows under overload, so that the largest ones are served too

Cause: a workflow of many tasks gets room for them over seconds. Under lasting overload it becomes late in the middle, lost its place to every new workflow of its kind, and got its last tasks only when the load was over.

Change: in StepOrder, begun work is not late as long as its result has a value, and comes before unbegun work of its level; gangs only keep their place.

--- a/src/workflow/ReadyStep.h
+++ b/src/workflow/ReadyStep.h
@@ -30,6 +30,8 @@
     /// False while the acceptance of the workflow is being committed: nothing may start, but permissions may be
     /// requested.
     bool isAccepted { true };
+    /// A task of the same occurrence has been placed or is done; see StepOrder.
+    bool isBegun { false };
     /// A worker has crashed under one of the tasks.
     bool isSuspect { false };
     /// Time by which the workflow must end to meet its objective, and time after which its result has no value.
--- a/src/workflow/StepOrder.h
+++ b/src/workflow/StepOrder.h
@@ -15,6 +15,12 @@
 /// a late urgent step does not starve behind less urgent work either. Steps whose result has no value left come last.
 /// Within a level, steps of organisations over their share come last, if capacity is short. Among the others on-time
 /// steps come first, then those with the earliest latest start.
+///
+/// What has begun is finished. A workflow of many tasks takes longer to get room for all of them, so that it is more
+/// often late before the last one has started; if it then waited behind new ones, it would never end under lasting
+/// overload, and the capacity that it has used would be lost. Therefore begun work is not late as long as its result
+/// has a value. Among the tasks of a level those of begun workflows come first; gangs start as a whole, so that one
+/// that has time left does not delay others.
 class StepOrder {
 public:
     /// `isBehindForShare`: capacity is short, and the step's organisation uses clearly more than its share.
@@ -22,12 +28,16 @@
 
     /// Priority that the step competes with: work of a lower level starts first.
     uint32_t level() const { return m_level; }
+    /// True if the step has not begun and can no longer meet its deadline.
     bool isLate() const { return m_isLate; }
 
     friend bool operator<(const StepOrder& a, const StepOrder& b)
     {
-        return std::tie(a.m_isExpired, a.m_level, a.m_isBehindForShare, a.m_isLate, a.m_latestStart, *a.m_ref)
-            < std::tie(b.m_isExpired, b.m_level, b.m_isBehindForShare, b.m_isLate, b.m_latestStart, *b.m_ref);
+        const auto key = [](const StepOrder& order) {
+            return std::tie(order.m_isExpired, order.m_level, order.m_isBehindForShare, order.m_isLate,
+                order.m_comesAfterBegun, order.m_latestStart, *order.m_ref);
+        };
+        return key(a) < key(b);
     }
 
 private:
@@ -35,6 +45,7 @@
     uint32_t m_level;
     bool m_isBehindForShare;
     bool m_isLate;
+    bool m_comesAfterBegun;
     TimePoint m_latestStart;
     const StepRef* m_ref; // Of the step, which must outlive this object.
 };
--- a/src/workflow/WorkflowScheduler.cpp
+++ b/src/workflow/WorkflowScheduler.cpp
@@ -417,6 +417,8 @@
     const auto runTimes = learnedRunTimes(record.queue, record.spec);
     const Duration objective = objectiveOf(record.spec, queue, runTimes);
     for (const auto& occurrence : record.occurrences) {
+        const bool isBegun = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+            [](const StepRecord& step) { return step.placed > 0 || step.open < step.tasks.size(); });
         TimePoint begin = tracked.acceptedAt;
         if (record.spec.isTimed()) {
             const int64_t due = record.spec.firstMs + occurrence.number * record.spec.intervalMs;
@@ -430,6 +432,7 @@
                 .organisation = record.organisation,
                 .queue = queue,
                 .tasks = readyTasks(record, occurrence, step),
+                .isBegun = isBegun,
                 .isSuspect = std::any_of(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
                     [](const TaskRecord& task) { return task.isSuspect(); }),
                 .deadline = begin + objective,
