--- a/src/workflow/WorkflowState.cpp
+++ b/src/workflow/WorkflowState.cpp
@@ -292,6 +292,8 @@
         bool areAllFree = isKnown;
         for (size_t i = first; i < end && areAllFree && isGang; ++i)
             areAllFree = mayPlace(known->second, command.entries[i].run);
+        if (areAllFree && isGang)
+            alignCheckpoints(known->second.find(step.occurrence)->steps[step.step]);
         for (size_t i = first; i < end && areAllFree; ++i) {
             const auto& entry = command.entries[i];
             WorkflowRecord& record = known->second;
@@ -311,6 +313,25 @@
     }
 }
 
+// The checkpoint of any member is valid for all of them. Members whose worker was lost may have an earlier one than the
+// others, so the most frequent one is taken; of several, that of the first member.
+void WorkflowState::alignCheckpoints(StepRecord& step)
+{
+    std::map<std::string_view, size_t> counts;
+    for (const auto& task : step.tasks) {
+        if (!task.checkpoint.empty())
+            ++counts[task.checkpoint];
+    }
+    std::string_view chosen;
+    for (const auto& task : step.tasks) {
+        if (!task.checkpoint.empty() && (chosen.empty() || counts[task.checkpoint] > counts[chosen]))
+            chosen = task.checkpoint;
+    }
+    const std::string checkpoint(chosen);
+    for (auto& task : step.tasks)
+        task.checkpoint = checkpoint;
+}
+
 bool WorkflowState::mayPlace(const WorkflowRecord& record, const RunRef& run) const
 {
     const TaskRecord* task = record.find(run.task);
--- a/src/workflow/WorkflowState.h
+++ b/src/workflow/WorkflowState.h
@@ -90,6 +90,8 @@
     void keepQueuesInUse(const QueueTable& next);
     static void beginOccurrences(WorkflowRecord&, uint32_t upTo);
     bool mayPlace(const WorkflowRecord&, const RunRef&) const;
+    /// Gives all members of a gang that is about to start the checkpoint of one of them.
+    static void alignCheckpoints(StepRecord&);
     void endRun(const EndRuns::Entry&);
     static void recordOutcome(WorkflowRecord&, StepRecord&, const StepSpec&, TaskRecord&, const EndRuns::Entry&);
     static void fail(WorkflowRecord&, StepRecord&, TaskRecord&, FailureCause);
--- a/tests/workflow/WorkflowStateTest.cpp
+++ b/tests/workflow/WorkflowStateTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(highestTableVersionWins);
     CPPUNIT_TEST(taskHasOnePlacedRunAtATime);
     CPPUNIT_TEST(gangIsPlacedCompletelyOrNotAtAll);
+    CPPUNIT_TEST(membersOfAGangResumeFromOneCheckpoint);
     CPPUNIT_TEST(oneMemberCompletesTheGang);
     CPPUNIT_TEST(gangFailureCountsOnce);
     CPPUNIT_TEST(workflowFailsAfterMaxAttempts);
@@ -303,6 +304,47 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, m_state.placedRuns().size());
     }
 
+    // Guards against members that start from different checkpoints: one worker crashed after it had listed an earlier
+    // one than the others listed at their ends, or lists nothing.
+    void membersOfAGangResumeFromOneCheckpoint()
+    {
+        auto gang = samples::step(4);
+        gang.isGang = gang.isCheckpointing = true;
+        apply({ samples::accept(samples::firstId, { gang }) });
+        const auto placeRun = [&](uint32_t number) {
+            std::vector<RunRef> runs;
+            for (uint32_t index = 0; index < gang.count; ++index)
+                runs.push_back(samples::run(samples::firstId, 0, index, number));
+            place(runs);
+        };
+        const auto endRun = [&](uint32_t number, const std::vector<const char*>& checkpoints) {
+            for (uint32_t index = 0; index < gang.count; ++index) {
+                const auto outcome = index ? RunOutcome::GangMemberEnded : RunOutcome::Lost;
+                end(samples::run(samples::firstId, 0, index, number), outcome, checkpoints[index]);
+            }
+        };
+        const auto expectAll = [&](const std::string& expected) {
+            for (const auto& task : record().occurrences.front().steps.front().tasks)
+                CPPUNIT_ASSERT_EQUAL(expected, task.checkpoint);
+        };
+        placeRun(1);
+        expectAll("");
+        endRun(1, { "first", "second", "second", "second" });
+        placeRun(2);
+        expectAll("second");
+        // A member whose end is known does not change what the starts of the others carry.
+        end(samples::run(samples::firstId, 0, 3, 2), RunOutcome::GangMemberEnded, "third");
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), record().find({ { samples::firstId, 0, 0 }, 0 })->checkpoint);
+        end(samples::run(samples::firstId, 0, 0, 2), RunOutcome::Lost);
+        end(samples::run(samples::firstId, 0, 1, 2), RunOutcome::GangMemberEnded, "third");
+        end(samples::run(samples::firstId, 0, 2, 2), RunOutcome::GangMemberEnded, "fourth");
+        placeRun(3);
+        expectAll("third");
+        endRun(3, { "", "", "", "" });
+        placeRun(4);
+        expectAll("third");
+    }
+
     // Guards against a finished gang that is not marked as done, and against workers whose capacity is released before
     // all members have ended.
     void oneMemberCompletesTheGang()
