Refuse reports that lack a field of a worker's report or have one of another type

Change: every field that the page names is needed with its type. The start time may be missing, as in the page's own example, but not be anything else than a whole number.

--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -226,7 +226,8 @@
     void invalidReportsAreRejected()
     {
         const json valid = json::parse(report);
-        for (const char* field : { "service", "address", "zone", "state", "capacity", "sequence" }) {
+        for (const char* field : { "service", "address", "zone", "version", "slots", "state", "warmupLeftMs",
+                 "capacity", "labels", "clockMs", "sequence" }) {
             auto withoutField = valid;
             withoutField.erase(field);
             CPPUNIT_ASSERT_MESSAGE(field, !decodeWorkerReport(WorkerId("i"), withoutField.dump()));
@@ -234,6 +235,19 @@
             withWrongType[field] = json::array({ 1 });
             CPPUNIT_ASSERT_MESSAGE(field, !decodeWorkerReport(WorkerId("i"), withWrongType.dump()));
         }
+        for (const char* field : { "cpu", "memMb", "gpu" }) {
+            auto withoutField = valid;
+            withoutField["capacity"].erase(field);
+            CPPUNIT_ASSERT_MESSAGE(field, !decodeWorkerReport(WorkerId("i"), withoutField.dump()));
+            auto withWrongType = valid;
+            withWrongType["capacity"][field] = "16000";
+            CPPUNIT_ASSERT_MESSAGE(field, !decodeWorkerReport(WorkerId("i"), withWrongType.dump()));
+        }
+        for (const json& start : { json("now"), json(1.5), json(-1), json::array() }) {
+            auto withWrongStart = valid;
+            withWrongStart["born"] = start;
+            CPPUNIT_ASSERT_MESSAGE(start.dump(), !decodeWorkerReport(WorkerId("i"), withWrongStart.dump()));
+        }
         auto invalidState = valid;
         invalidState["state"] = "resting";
         CPPUNIT_ASSERT(!decodeWorkerReport(WorkerId("i"), invalidState.dump()));
