Tell every refusal of a submission after a lost reply as uncertain

Cause: LeaderClient listed the refusals that are not final after an attempt without a reply, and "no such queue" was missing; so were "invalid" and "id taken", which can follow an accepted attempt in the same way.

Change: for a submission every reply but "done" is uncertain then.

--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -161,10 +161,11 @@
     m_leader = host;
     updateFrom(reply);
     m_lastLeaderContact = now;
-    // An earlier attempt without a reply may still reach the leader and be accepted there, so this refusal is not
-    // final.
-    const bool isRefusal = reply.status == ControlStatus::Refused || reply.status == ControlStatus::NotReady
-        || (reply.status == ControlStatus::Unauthorised && std::holds_alternative<SubmitCall>(pending->call));
+    // An earlier attempt without a reply may have been accepted, or may still be. No refusal of a submission is final
+    // then, whatever its reason: the table may have been changed in between.
+    const bool isRefusal = std::holds_alternative<SubmitCall>(pending->call)
+        ? reply.status != ControlStatus::Done && reply.status != ControlStatus::Uncertain
+        : reply.status == ControlStatus::Refused || reply.status == ControlStatus::NotReady;
     if (isRefusal && pending->mayHaveExecuted) {
         reply.message += "; an earlier attempt went without a reply";
         reply.status = ControlStatus::Uncertain;
--- a/tests/control/LeaderClientTest.cpp
+++ b/tests/control/LeaderClientTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(refusalAfterLostReplyIsUncertain);
     CPPUNIT_TEST(refusalAfterFailedSendIsFinal);
     CPPUNIT_TEST(missingKeyAfterLostReplyIsUncertainForSubmissionsOnly);
+    CPPUNIT_TEST(anyRefusalOfASubmissionAfterLostReplyIsUncertain);
     CPPUNIT_TEST(callsGoThroughFollowersOfManyReplicas);
     CPPUNIT_TEST(callsGoToTheLeaderOfFewReplicas);
     CPPUNIT_TEST(unresponsiveFollowerIsAvoided);
@@ -122,6 +123,28 @@
         }
     }
 
+    // Guards against telling a caller that nothing runs if the table was changed between an attempt that was accepted
+    // and the next one: the queue was removed, a longer prefix took its place, or the key went to another organisation.
+    void anyRefusalOfASubmissionAfterLostReplyIsUncertain()
+    {
+        const auto leaderClient = client(3);
+        for (const auto status : { ControlStatus::NoSuchQueue, ControlStatus::Invalid, ControlStatus::IdTaken,
+                 ControlStatus::Refused, ControlStatus::NotReady }) {
+            m_transport.replies.push_back(ScriptedTransport::noReply(true));
+            m_transport.replies.push_back(ScriptedTransport::replyWithStatus(status));
+            const auto reply = call(*leaderClient, SubmitCall {});
+            CPPUNIT_ASSERT_MESSAGE(controlStatusName(status), reply && reply->status == ControlStatus::Uncertain);
+        }
+        // What is known is told.
+        m_transport.replies.push_back(ScriptedTransport::noReply(true));
+        m_transport.replies.push_back(ScriptedTransport::replyWithStatus(ControlStatus::Done));
+        CPPUNIT_ASSERT(call(*leaderClient, SubmitCall {})->status == ControlStatus::Done);
+        // Only an attempt that may have been executed makes a refusal uncertain.
+        m_transport.replies.push_back(ScriptedTransport::noReply(false));
+        m_transport.replies.push_back(ScriptedTransport::replyWithStatus(ControlStatus::NoSuchQueue));
+        CPPUNIT_ASSERT(call(*leaderClient, SubmitCall {})->status == ControlStatus::NoSuchQueue);
+    }
+
     // Guards against all entry hosts of a large deployment calling the leader directly.
     void callsGoThroughFollowersOfManyReplicas()
     {
