--- a/src/consensus/LogBuffer.cpp
+++ b/src/consensus/LogBuffer.cpp
@@ -23,14 +23,17 @@
 {
     HICKORYKNOT_ASSERT(entry.index == lastIndex() + 1, "entries are appended without gaps");
     HICKORYKNOT_ASSERT(entry.term >= lastTerm(), "terms never decrease along the log");
+    m_payloadBytes += entry.payload.size();
     m_entries.push_back(std::move(entry));
 }
 
 void LogBuffer::truncateFrom(LogIndex index)
 {
     HICKORYKNOT_ASSERT(index > m_baseIndex, "compacted entries cannot be truncated");
-    if (index <= lastIndex())
-        m_entries.resize(index - m_baseIndex - 1);
+    while (index <= lastIndex()) {
+        m_payloadBytes -= m_entries.back().payload.size();
+        m_entries.pop_back();
+    }
 }
 
 void LogBuffer::compactTo(LogIndex index)
@@ -38,18 +41,33 @@
     if (index <= m_baseIndex)
         return;
     m_baseTerm = at(index).term;
-    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(index - m_baseIndex));
-    m_baseIndex = index;
+    for (; m_baseIndex < index; ++m_baseIndex) {
+        m_payloadBytes -= m_entries.front().payload.size();
+        m_entries.pop_front();
+    }
 }
 
 void LogBuffer::resetTo(const Snapshot& snapshot)
 {
     m_entries.clear();
+    m_payloadBytes = 0;
     m_baseIndex = snapshot.index;
     m_baseTerm = snapshot.term;
     m_snapshot = snapshot;
 }
 
+LogIndex LogBuffer::indexBeforeLast(size_t maxBytes, LogIndex last) const
+{
+    size_t bytes = 0;
+    LogIndex index = last;
+    for (; index > m_baseIndex; --index) {
+        bytes += at(index).payload.size();
+        if (bytes > maxBytes)
+            break;
+    }
+    return index;
+}
+
 std::vector<LogEntry> LogBuffer::slice(LogIndex first, size_t maxBytes) const
 {
     std::vector<LogEntry> entries;
--- a/src/consensus/LogBuffer.h
+++ b/src/consensus/LogBuffer.h
@@ -36,6 +36,13 @@
     /// Discards all entries; the log continues after the snapshot.
     void resetTo(const Snapshot&);
 
+    /// Sum of the payloads.
+    size_t payloadBytes() const { return m_payloadBytes; }
+
+    /// The lowest index from which on the entries up to `last` have at most `maxBytes` of payload, less one: an index
+    /// to compact to.
+    LogIndex indexBeforeLast(size_t maxBytes, LogIndex last) const;
+
     /// Entries from `first` on, limited to `maxBytes` of payload. Returns at least one entry if there is any.
     std::vector<LogEntry> slice(LogIndex first, size_t maxBytes) const;
 
@@ -49,6 +56,7 @@
     LogIndex m_baseIndex { 0 };
     Term m_baseTerm { 0 };
     std::deque<LogEntry> m_entries;
+    size_t m_payloadBytes { 0 };
     std::optional<Snapshot> m_snapshot;
 };
 
--- a/src/consensus/LogGroup.cpp
+++ b/src/consensus/LogGroup.cpp
@@ -19,7 +19,8 @@
     const auto& timings = settings.timings;
     const bool areTimingsValid = timings.heartbeat > 0ms && timings.heartbeat * 2 <= timings.electionMin
         && timings.electionMin <= timings.electionMax && timings.leaseMargin < timings.electionMin;
-    if (settings.group.empty() || settings.self.isEmpty() || !areTimingsValid || !settings.snapshotInterval)
+    if (settings.group.empty() || settings.self.isEmpty() || !areTimingsValid || !settings.snapshotInterval
+        || !settings.snapshotBytes)
         return makeError(
             ErrorCode::InvalidArgument, "a log group needs a name, a host id, a snapshot interval and valid timings");
     const auto& initial = settings.initialMembers;
@@ -42,6 +43,7 @@
         .seed = settings.seed,
         .timings = settings.timings,
         .trailingEntries = settings.trailingEntries,
+        .trailingBytes = settings.trailingBytes,
         .batchBytes = settings.batchBytes,
         .recovered = std::move(recovered) };
 }
@@ -258,6 +260,7 @@
     const auto restored = m_stateMachine.restore(*snapshot.data);
     HICKORYKNOT_ASSERT(restored, "a snapshot of the leader can be restored");
     m_appliedIndex = m_snapshotIndex = snapshot.index;
+    m_bytesSinceSnapshot = 0;
 }
 
 void LogGroup::applyCommitted()
@@ -273,6 +276,7 @@
     if (entry.kind == EntryKind::Payload)
         result = m_stateMachine.apply(entry.index, entry.payload);
     m_appliedIndex = entry.index;
+    m_bytesSinceSnapshot += entry.payload.size();
     const auto found = m_proposals.find(entry.index);
     if (found == m_proposals.end())
         return;
@@ -287,10 +291,12 @@
 
 void LogGroup::snapshotIfNeeded()
 {
-    if (m_appliedIndex < m_snapshotIndex + m_settings.snapshotInterval)
+    const bool isDue = m_appliedIndex >= m_snapshotIndex + m_settings.snapshotInterval
+        || m_bytesSinceSnapshot >= m_settings.snapshotBytes;
+    if (!isDue || !m_log.recordSnapshot(m_appliedIndex, std::make_shared<const std::string>(m_stateMachine.snapshot())))
         return;
-    if (m_log.recordSnapshot(m_appliedIndex, std::make_shared<const std::string>(m_stateMachine.snapshot())))
-        m_snapshotIndex = m_appliedIndex;
+    m_snapshotIndex = m_appliedIndex;
+    m_bytesSinceSnapshot = 0;
 }
 
 // After losing leadership a host may not learn the outcome of its proposals for a long time.
--- a/src/consensus/LogGroup.h
+++ b/src/consensus/LogGroup.h
@@ -83,6 +83,8 @@
     LogIndex commitIndex() const { return m_log.commitIndex(); }
     LogIndex appliedIndex() const { return m_appliedIndex; }
     LogIndex lastIndex() const { return m_log.lastIndex(); }
+    /// Payload bytes of the entries in memory.
+    size_t logBytes() const { return m_log.logBytes(); }
     TimePoint lastLeaderContact() const { return m_log.lastLeaderContact(); }
 
     /// Adds a learner; with isVoter the leader promotes it once it has caught up, and the completion runs after the
@@ -158,6 +160,7 @@
     ReplicatedLog m_log;
     LogIndex m_appliedIndex { 0 };
     LogIndex m_snapshotIndex { 0 };
+    uint64_t m_bytesSinceSnapshot { 0 }; // Payload of the entries applied since.
     bool m_isWriteOutstanding { false };
     bool m_wasIdentityOutdated { false };
     std::optional<Error> m_storageFailure;
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -254,7 +254,8 @@
     m_isSnapshotUnwritten = true;
     // Entries that are not durable yet must stay in memory until they are written.
     const LogIndex kept = std::min(m_settings.trailingEntries, index);
-    m_log.compactTo(std::min({ index - kept, m_persistedIndex, m_unwrittenFrom - 1 }));
+    const LogIndex unneeded = std::max(index - kept, m_log.indexBeforeLast(m_settings.trailingBytes, index));
+    m_log.compactTo(std::min({ unneeded, m_persistedIndex, m_unwrittenFrom - 1 }));
     return true;
 }
 
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -99,6 +99,7 @@
     Term term() const { return m_term; }
     LogIndex commitIndex() const { return m_commitIndex; }
     LogIndex lastIndex() const { return m_log.lastIndex(); }
+    size_t logBytes() const { return m_log.payloadBytes(); }
     LogIndex firstIndex() const { return m_log.baseIndex() + 1; }
     std::optional<Term> termAt(LogIndex index) const { return m_log.termAt(index); }
     const std::optional<Snapshot>& snapshot() const { return m_log.snapshot(); }
--- a/src/consensus/ReplicatedLogSettings.h
+++ b/src/consensus/ReplicatedLogSettings.h
@@ -20,6 +20,7 @@
     uint64_t seed { 0 };
     LogTimings timings;
     uint64_t trailingEntries { 1024 }; // Entries kept in memory below a snapshot.
+    uint64_t trailingBytes { 8 << 20 }; // Payload bytes of these entries.
     uint64_t batchBytes { 256 << 10 }; // Payload bytes per append message or snapshot chunk.
     RecoveredLog recovered;
 };
--- a/src/control/WorkflowHost.cpp
+++ b/src/control/WorkflowHost.cpp
@@ -380,6 +380,8 @@
         static_cast<double>(m_scheduler.readyStepCount()));
     metrics.set(metrics.gauge("hickoryknot_log_index", "Last entry of the replicated log"),
         static_cast<double>(m_runner->group().lastIndex()));
+    metrics.set(metrics.gauge("hickoryknot_log_bytes", "Payload of the entries of the replicated log in memory"),
+        static_cast<double>(m_runner->group().logBytes()));
     metrics.set(metrics.gauge("hickoryknot_early_cancellations", "Recorded cancellations of unknown workflows"),
         static_cast<double>(m_state.earlyCancellations().size()));
     metrics.set(metrics.gauge("hickoryknot_table_version", "Version of the queue table"),
--- a/tests/consensus/LogGroupTest.cpp
+++ b/tests/consensus/LogGroupTest.cpp
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "consensus/DigestMachine.h"
 #include "consensus/LogCluster.h"
+#include "fakes/FakeDisk.h"
+#include "log/RecordStore.h"
 
 namespace hickoryknot {
 
@@ -12,6 +15,7 @@
     CPPUNIT_TEST(refusesVoterWithoutStore);
     CPPUNIT_TEST(completesMemberChanges);
     CPPUNIT_TEST(gathersWritesWhileOneIsOutstanding);
+    CPPUNIT_TEST(largeEntriesAreCompactedByBytes);
     CPPUNIT_TEST(electsWithinOneSecond);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +128,71 @@
         CPPUNIT_ASSERT_EQUAL(size_t(9), group.popWriteBatch()->entries.size());
     }
 
+    // Opens the only member of a group on this disk, and returns what its store has recovered in `recoveredBytes`.
+    static std::unique_ptr<LogGroup> openOnly(
+        const std::shared_ptr<FakeFileSystem>& files, StateMachine& machine, size_t& recoveredBytes, TimePoint now)
+    {
+        const HostId self("a");
+        const RecordStoreSettings storeSettings {
+            .cell = "cell", .group = "log", .host = self, .session = static_cast<SessionId>(1)
+        };
+        LogGroupSettings settings;
+        settings.group = "log";
+        settings.self = self;
+        settings.initialMembers = { { self, true } };
+        settings.snapshotInterval = 8192;
+        recoveredBytes = 0;
+        for (const auto& entry :
+            (*RecordStore::open(std::make_unique<FakeDisk>(files), storeSettings))->releaseRecovered().entries)
+            recoveredBytes += entry.payload.size();
+        auto store = RecordStore::open(std::make_unique<FakeDisk>(files), storeSettings);
+        return *LogGroup::open(settings, std::move(*store), machine, now);
+    }
+
+    // Guards against hosts that run out of memory, and again whenever they read their log at a start: hundreds of large
+    // entries came before the number of entries called for a snapshot.
+    void largeEntriesAreCompactedByBytes()
+    {
+        constexpr size_t entryBytes = size_t { 1 } << 20;
+        constexpr size_t entries = 120;
+        constexpr size_t mostBytes = size_t { 40 } << 20;
+        const auto files = std::make_shared<FakeFileSystem>(1);
+        TimePoint now(10s);
+        size_t recoveredBytes = 0;
+        std::string digest;
+        {
+            DigestMachine machine;
+            const auto group = openOnly(files, machine, recoveredBytes, now);
+            const auto write = [&] {
+                while (const auto batch = group->popWriteBatch())
+                    group->onWriteCompleted(group->performWrite(*batch), now);
+            };
+            for (; !group->isLeader(); now += 25ms) {
+                group->tick(now);
+                write();
+            }
+            size_t done = 0;
+            for (size_t i = 0; i < entries; ++i) {
+                group->propose(std::string(entryBytes, static_cast<char>('a' + i % 26)), now,
+                    [&](const auto& result) { done += result ? 1 : 0; });
+                write();
+            }
+            CPPUNIT_ASSERT_EQUAL(entries, done);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(group->logBytes()), group->logBytes() <= mostBytes);
+            digest = machine.snapshot();
+        }
+        DigestMachine restored;
+        const auto group = openOnly(files, restored, recoveredBytes, now);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(recoveredBytes), recoveredBytes <= mostBytes);
+        for (int i = 0; i < 100; ++i) {
+            now += 25ms;
+            group->tick(now);
+            while (const auto batch = group->popWriteBatch())
+                group->onWriteCompleted(group->performWrite(*batch), now);
+        }
+        CPPUNIT_ASSERT(digest == restored.snapshot());
+    }
+
     // Guards against timeouts that leave a group without a leader for longer than the design allows. Simulated time:
     // 1 to 2 ms per hop, 2 ms per sync.
     void electsWithinOneSecond()
