--- a/tests/processes/ProcessCell.cpp
+++ b/tests/processes/ProcessCell.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <thread>
+#include <unistd.h>
 
 #include "app/ApiClient.h"
 
@@ -13,17 +14,28 @@
 
 namespace {
 
-/// Returns free loopback ports; they are distinct because all are bound at the same time.
+/// Returns free loopback ports. They lie below those from which the system takes the local ports of connections: such
+/// a port could be taken by a connection of another process before the host of this cell listens there. Where the
+/// search begins depends on the process, so that tests at the same time choose different ones.
 std::vector<uint16_t> allocateFreePorts(size_t count)
 {
     using boost::asio::ip::tcp;
+    constexpr int first = 12'000;
+    constexpr int last = 32'000;
+    constexpr int portsPerProcess = 64;
+    static int next = first + static_cast<int>(getpid()) * portsPerProcess % (last - first);
     boost::asio::io_context context;
-    std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
     std::vector<uint16_t> ports;
-    for (size_t i = 0; i < count; ++i) {
-        acceptors.push_back(
-            std::make_unique<tcp::acceptor>(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)));
-        ports.push_back(acceptors.back()->local_endpoint().port());
+    for (int tried = 0; ports.size() < count && tried < last - first; ++tried) {
+        const auto port = static_cast<uint16_t>(next);
+        next = next + 1 < last ? next + 1 : first;
+        boost::system::error_code error;
+        tcp::acceptor acceptor(context);
+        acceptor.open(tcp::v4(), error);
+        if (!error)
+            acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, error);
+        if (!error)
+            ports.push_back(port);
     }
     return ports;
 }
@@ -173,13 +185,10 @@
         if (file.path().extension() != ".log")
             continue;
         std::ifstream log(file.path());
-        std::string lastError;
-        for (std::string line; std::getline(log, line);) {
-            if (line.find("[error]") != std::string::npos || line.find("[critical]") != std::string::npos)
-                lastError = line;
-        }
-        if (!lastError.empty())
-            text += "\n" + file.path().filename().string() + ": " + lastError;
+        std::string lastLine;
+        for (std::string line; std::getline(log, line);)
+            lastLine = line;
+        text += "\n" + file.path().filename().string() + ": " + lastLine;
     }
     return text;
 }
--- a/tests/processes/ProcessCell.h
+++ b/tests/processes/ProcessCell.h
@@ -29,7 +29,7 @@
     void signalHost(const std::string& host, int number);
     void eraseData(const std::string& host);
     bool isRunning(const std::string& host);
-    /// For a failure message: the processes that have ended, and the last error that each process logged.
+    /// For a failure message: the processes that have ended, and the last line that each process logged.
     std::string describeProcesses();
 
     void killWorkers(const std::string& zone);
